First version: demand slice, warm-up limiter under pressure, own ceiling part, cold budgets

The plain store refills at this gateway's slice of the quota; told use trues it up. While the share of slow or full answers is high the split slice with SmoothWarmingUp cost binds too.

--- /dev/null
+++ b/src/benchlink/base64.h
@@ -0,0 +1,14 @@
+// Base64 with padding.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace silverreach::benchlink {
+
+void append_base64(std::string& out, std::string_view bytes);
+// Nothing where the text is not padded base64.
+std::optional<std::string> from_base64(std::string_view text);
+
+}  // namespace silverreach::benchlink
--- /dev/null
+++ b/src/benchlink/link.cpp
@@ -0,0 +1,482 @@
+#include "link.h"
+
+#include <simdjson.h>
+
+#include <array>
+#include <charconv>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base64.h"
+#include "silverreach/interface.h"
+
+namespace silverreach::benchlink {
+namespace {
+using simdjson::dom::array;
+using simdjson::dom::element;
+using simdjson::dom::object;
+
+constexpr std::size_t lists_on_the_wire = 16;
+constexpr double most_micros = 4e18;
+
+// Raised where a value is read; the line's number is added where lines are counted.
+struct BadValue : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+[[noreturn]] void bad(std::string_view what, std::string_view expected) {
+    throw BadValue(std::string(what) + ": expected " + std::string(expected));
+}
+
+double as_number(element e, std::string_view what) {
+    double value = 0;
+    if (e.get(value) != simdjson::SUCCESS) bad(what, "a number");
+    return value;
+}
+std::int64_t as_integer(element e, std::string_view what) {
+    std::int64_t value = 0;
+    if (e.get(value) == simdjson::SUCCESS) return value;
+    const double wide = as_number(e, what);
+    if (wide != std::floor(wide) || std::abs(wide) > most_micros) bad(what, "an integer");
+    return static_cast<std::int64_t>(wide);
+}
+std::uint64_t as_unsigned(element e, std::string_view what) {
+    std::uint64_t value = 0;
+    if (e.get(value) != simdjson::SUCCESS) bad(what, "a whole number not below 0");
+    return value;
+}
+std::string_view as_text(element e, std::string_view what) {
+    std::string_view value;
+    if (e.get(value) != simdjson::SUCCESS) bad(what, "text");
+    return value;
+}
+bool as_bool(element e, std::string_view what) {
+    bool value = false;
+    if (e.get(value) != simdjson::SUCCESS) bad(what, "true or false");
+    return value;
+}
+array as_array(element e, std::string_view what) {
+    array value;
+    if (e.get(value) != simdjson::SUCCESS) bad(what, "an array");
+    return value;
+}
+object as_object(element e, std::string_view what) {
+    object value;
+    if (e.get(value) != simdjson::SUCCESS) bad(what, "an object");
+    return value;
+}
+
+// Settings: required keys name themselves when they are missing; absent optional ones keep the default.
+element required(object o, std::string_view key) {
+    element e;
+    if (o[key].get(e) != simdjson::SUCCESS) bad("setting '" + std::string(key) + "' is missing", "a value");
+    return e;
+}
+std::optional<element> optional_key(object o, std::string_view key) {
+    element e;
+    if (o[key].get(e) != simdjson::SUCCESS || e.is_null()) return std::nullopt;
+    return e;
+}
+void read(object o, std::string_view key, double& into) {
+    if (auto e = optional_key(o, key)) into = as_number(*e, key);
+}
+void read(object o, std::string_view key, int& into) {
+    if (auto e = optional_key(o, key)) into = static_cast<int>(as_integer(*e, key));
+}
+void read(object o, std::string_view key, bool& into) {
+    if (auto e = optional_key(o, key)) into = as_bool(*e, key);
+}
+void read(object o, std::string_view key, Micros& into) {
+    if (auto e = optional_key(o, key)) into = Micros(as_integer(*e, key));
+}
+
+RequestClass read_class(object o) {
+    RequestClass c;
+    c.name = as_text(required(o, "name"), "name");
+    const std::string_view effect = as_text(required(o, "effect"), "effect");
+    if (effect == "retryable") c.effect = Effect::safe;
+    else if (effect == "dedup") c.effect = Effect::keyed;
+    else if (effect == "fragile") c.effect = Effect::unsafe;
+    else bad("effect", "retryable, dedup or fragile");
+    if (auto scope = optional_key(o, "dedupScope")) {
+        const std::string_view name = as_text(*scope, "dedupScope");
+        c.repeat_scope = name == "all"    ? RepeatScope::all
+                         : name == "zone" ? RepeatScope::zone
+                                          : RepeatScope::cell;
+    }
+    c.deadline = Micros(as_integer(required(o, "deadlineUs"), "deadlineUs"));
+    c.aim = c.deadline;
+    read(o, "promiseUs", c.aim);
+    read(o, "repeatWindowUs", c.repeat_window);
+    read(o, "value", c.worth);
+    read(o, "lateWorth", c.late_worth);
+    return c;
+}
+
+Plan read_plan(object o) {
+    Plan p;
+    p.name = as_text(required(o, "name"), "name");
+    read(o, "rate", p.rate);
+    read(o, "mostAtOnce", p.burst);
+    read(o, "maxOut", p.max_open);
+    read(o, "worthFactor", p.worth_factor);
+    read(o, "excessWorth", p.excess_worth);
+    read(o, "excessCost", p.excess_cost);
+    read(o, "hardRate", p.hard_rate);
+    read(o, "hardBurst", p.hard_burst);
+    return p;
+}
+
+Settings read_settings(object o) {
+    Settings s;
+    s.rank = static_cast<int>(as_integer(required(o, "rank"), "rank"));
+    s.instances = static_cast<int>(as_integer(required(o, "instances"), "instances"));
+    if (auto zone = optional_key(o, "locality")) s.zone = as_text(*zone, "locality");
+    for (element e : as_array(required(o, "requestClasses"), "requestClasses"))
+        s.classes.push_back(read_class(as_object(e, "requestClasses[]")));
+    if (auto plans = optional_key(o, "tiersOfService"))
+        for (element e : as_array(*plans, "tiersOfService"))
+            s.plans.push_back(read_plan(as_object(e, "tiersOfService[]")));
+    const object limits = as_object(required(o, "ceilings"), "ceilings");
+    read(limits, "maxAttempts", s.max_attempts);
+    read(limits, "mayDuplicate", s.second_copies);
+    read(limits, "cancel", s.may_cancel);
+    read(limits, "probes", s.may_probe);
+    read(limits, "peers", s.may_message);
+    read(limits, "retryAfter", s.may_advise_retry);
+    read(limits, "maxRetryAfterUs", s.max_retry_after);
+    if (auto e = optional_key(o, "familyInfo")) {
+        const object info = as_object(*e, "familyInfo");
+        read(info, "mailPerS", s.messages_per_s);
+        read(info, "truedUp", s.units_settled_later);
+    }
+    if (auto e = optional_key(o, "reporting")) {
+        const object reports = as_object(*e, "reporting");
+        const std::string_view how = as_text(required(reports, "how"), "how");
+        s.reports = how == "inline"     ? LoadReports::in_answers
+                    : how == "on_probe" ? LoadReports::on_probe
+                                        : LoadReports::none;
+    }
+    const object rules = as_object(required(o, "guarantees"), "guarantees");
+    read(rules, "coldUs", s.cold_time);
+    read(rules, "fallUs", s.fall_time);
+    read(rules, "overloadFactor", s.fall_multiple);
+    read(rules, "startCapacity", s.start_capacity);
+    read(o, "tickUs", s.tick);
+    if (auto e = optional_key(o, "costs")) read(as_object(*e, "costs"), "crossZone", s.cross_zone_cost);
+    return s;
+}
+
+Outcome read_outcome(std::string_view status) {
+    static constexpr std::array<std::pair<std::string_view, Outcome>, 8> names{{{"GOOD", Outcome::good},
+                                                                                {"BAD", Outcome::error},
+                                                                                {"FULL", Outcome::full},
+                                                                                {"LATE", Outcome::timeout},
+                                                                                {"NOCONN", Outcome::connect_failed},
+                                                                                {"RST", Outcome::reset},
+                                                                                {"CXL", Outcome::cancelled},
+                                                                                {"NOP", Outcome::moot}}};
+    for (const auto& [name, outcome] : names)
+        if (name == status) return outcome;
+    bad("status", "GOOD, BAD, FULL, LATE, NOCONN, RST, CXL or NOP");
+}
+
+struct Instance {
+    Gateway gateway;
+    std::unordered_map<std::string, int> classes, plans;
+};
+
+// The values of one line, by position; a value past the end reads as null.
+struct Fields {
+    std::array<element, 20> at{};
+    std::size_t count = 0;
+    element get(std::size_t i, std::string_view what) const {
+        if (i >= count) bad(what, "a value, the line is too short");
+        return at[i];
+    }
+    bool present(std::size_t i) const { return i < count && !at[i].is_null(); }
+};
+
+LoadReport read_report(const Fields& f, std::size_t at) {
+    LoadReport report;
+    if (!f.present(at)) return report;
+    const object o = as_object(f.at[at], "feedback");
+    read(o, "backlog", report.queued);
+    read(o, "outstanding", report.outstanding);
+    read(o, "utilization", report.utilization);
+    return report;
+}
+
+void put_number(std::string& out, std::uint64_t value) {
+    char text[24];
+    out.append(text, std::to_chars(text, text + sizeof text, value).ptr);
+}
+void put_text(std::string& out, std::string_view text) {
+    out.push_back('"');
+    for (const char c : text) {
+        if (c == '"' || c == '\\') out.push_back('\\');
+        out.push_back(c);
+    }
+    out.push_back('"');
+}
+}  // namespace
+
+struct Link::State {
+    simdjson::dom::parser parser;
+    std::uint64_t lines = 0;
+    Micros now{0};
+    bool in_batch = false;
+    std::array<std::optional<std::vector<HostEntry>>, lists_on_the_wire> lists;
+    std::map<std::int64_t, Instance> instances;
+    std::vector<Action> actions;
+    std::string reply;
+
+    bool line(std::string& text, std::string& out);
+    void event(std::string_view name, const Fields& f);
+    void attach(const Fields& f);
+    void directory(const Fields& f);
+    void feed(std::int64_t number, Instance& instance, const Event& event);
+    void write(std::int64_t number, const Action& action);
+    void open(std::string_view word, std::int64_t number) {
+        reply.append("[\"").append(word).append("\",");
+        put_number(reply, static_cast<std::uint64_t>(number));
+    }
+    void put(std::uint64_t value) {
+        reply.push_back(',');
+        put_number(reply, value);
+    }
+    void put(std::string_view text) {
+        reply.push_back(',');
+        put_text(reply, text);
+    }
+};
+
+Link::Link() : state_(std::make_unique<State>()) {}
+Link::~Link() = default;
+
+bool Link::take_line(std::string& line, std::string& out) {
+    ++state_->lines;
+    try {
+        return state_->line(line, out);
+    } catch (const BadValue& error) {
+        throw WireError("line " + std::to_string(state_->lines) + ": " + error.what());
+    } catch (const std::invalid_argument& error) {
+        throw WireError("line " + std::to_string(state_->lines) + ": " + error.what());
+    }
+}
+
+bool Link::State::line(std::string& text, std::string& out) {
+    if (text.find_first_not_of(" \t\r") == std::string::npos) return false;
+    text.reserve(text.size() + simdjson::SIMDJSON_PADDING);
+    element root;
+    if (parser.parse(text.data(), text.size(), false).get(root) != simdjson::SUCCESS)
+        bad("malformed line", "one JSON array");
+    array values;
+    if (root.get(values) != simdjson::SUCCESS) bad("malformed line", "one JSON array");
+    std::string_view name;
+    Fields f;
+    bool first = true;
+    for (element e : values) {
+        if (first) {
+            name = as_text(e, "message name");
+            first = false;
+        } else if (f.count < f.at.size()) {
+            f.at[f.count++] = e;
+        }
+    }
+    if (first) bad("malformed line", "a message name");
+    if (name == "Turn") {
+        const Micros then(as_integer(f.get(0, "clock"), "clock"));
+        if (then < now) bad("clock", "a time that does not go back");
+        now = then;
+        in_batch = true;
+        return false;
+    }
+    if (!in_batch) bad("message outside a batch", "a Turn line first");
+    if (name == "EofBatch") {
+        in_batch = false;
+        out.append(reply).append("[\"End\"]\n");
+        reply.clear();
+        return true;
+    }
+    event(name, f);
+    return false;
+}
+
+void Link::State::attach(const Fields& f) {
+    const std::int64_t number = as_integer(f.get(0, "gatewayId"), "gatewayId");
+    if (number < 0) bad("gatewayId", "a number not below 0");
+    const Settings settings = read_settings(as_object(f.get(2, "config"), "config"));
+    Instance instance{Gateway(settings, as_unsigned(f.get(1, "rngSeed"), "rngSeed"), now), {}, {}};
+    for (std::size_t i = 0; i < settings.classes.size(); ++i)
+        instance.classes.emplace(settings.classes[i].name, static_cast<int>(i));
+    for (std::size_t i = 0; i < settings.plans.size(); ++i)
+        instance.plans.emplace(settings.plans[i].name, static_cast<int>(i));
+    instances.insert_or_assign(number, std::move(instance));
+}
+
+void Link::State::directory(const Fields& f) {
+    const std::int64_t slot = as_integer(f.get(0, "slot"), "slot");
+    if (slot < 0 || slot >= static_cast<std::int64_t>(lists.size())) bad("slot", "a list number from 0 to 15");
+    std::vector<HostEntry> entries;
+    for (element e : as_array(f.get(1, "records"), "records")) {
+        Fields row;
+        for (element value : as_array(e, "records[]"))
+            if (row.count < row.at.size()) row.at[row.count++] = value;
+        HostEntry entry;
+        entry.host = as_text(row.get(0, "host"), "host");
+        if (row.present(1)) entry.zone = as_text(row.at[1], "failureDomain");
+        if (row.present(2)) entry.kind = as_text(row.at[2], "hw");
+        if (row.present(3)) entry.cell = as_integer(row.at[3], "pack");
+        const std::string_view health = as_text(row.get(4, "health"), "health");
+        if (health == "U") entry.state = HostState::up;
+        else if (health == "L") entry.state = HostState::draining;
+        else if (health == "D") entry.state = HostState::gone;
+        else bad("health", "U, L or D");
+        if (row.present(5)) entry.weight = as_number(row.at[5], "weight");
+        if (row.present(6)) entry.started = Micros(as_integer(row.at[6], "bootTimeUs"));
+        entries.push_back(std::move(entry));
+    }
+    lists[static_cast<std::size_t>(slot)] = std::move(entries);
+}
+
+void Link::State::event(std::string_view name, const Fields& f) {
+    if (name == "Attach") return attach(f);
+    if (name == "Directory") return directory(f);
+    enum class Kind { sync, request, returned, destroy, gone, peer, ping, timer };
+    static const std::unordered_map<std::string_view, Kind> kinds{
+        {"Sync", Kind::sync},       {"NewRequest", Kind::request}, {"Returned", Kind::returned},
+        {"Destroy", Kind::destroy}, {"Gone", Kind::gone},          {"PeerData", Kind::peer},
+        {"PingResult", Kind::ping}, {"Timer", Kind::timer}};
+    const auto kind = kinds.find(name);
+    if (kind == kinds.end()) return;  // events this version does not know
+    const std::int64_t number = as_integer(f.get(0, "gatewayId"), "gatewayId");
+    const auto found = instances.find(number);
+    if (kind->second == Kind::sync) {
+        const std::string_view how = as_text(f.get(1, "kind"), "kind");
+        if (how == "unavailable") return;
+        const std::int64_t slot = as_integer(f.get(3, "slot"), "slot");
+        if (slot < 0 || slot >= static_cast<std::int64_t>(lists.size()) || !lists[static_cast<std::size_t>(slot)])
+            bad("slot", "the number of a list that a Directory declared");
+        if (found == instances.end()) return;
+        return feed(number, found->second, HostsChanged{how != "update", *lists[static_cast<std::size_t>(slot)]});
+    }
+    if (found == instances.end()) return;
+    Instance& instance = found->second;
+    switch (kind->second) {
+        case Kind::request: {
+            RequestArrived r;
+            r.id = as_unsigned(f.get(1, "xid"), "xid");
+            if (f.present(2)) r.set_size = static_cast<int>(as_integer(f.at[2], "nEntries"));
+            if (f.present(3)) r.set_start = static_cast<int>(as_integer(f.at[3], "setStart"));
+            r.time_left = Micros(as_integer(f.get(4, "timeLeftUs"), "timeLeftUs"));
+            if (f.present(5)) r.customer = as_text(f.at[5], "apiKey");
+            r.plan = -1;
+            if (f.present(7)) {
+                const auto plan = instance.plans.find(std::string(as_text(f.at[7], "contract")));
+                if (plan != instance.plans.end()) r.plan = plan->second;
+            }
+            const auto cls = instance.classes.find(std::string(as_text(f.get(8, "category"), "category")));
+            if (cls == instance.classes.end()) bad("category", "a class of the settings");
+            r.request_class = cls->second;
+            if (f.present(9)) r.units = as_number(f.at[9], "sizeUnits");
+            return feed(number, instance, r);
+        }
+        case Kind::returned: {
+            AttemptEnded a;
+            a.id = as_unsigned(f.get(1, "xid"), "xid");
+            a.attempt = static_cast<int>(as_integer(f.get(2, "sendNo"), "sendNo"));
+            a.host = as_text(f.get(3, "host"), "host");
+            a.outcome = read_outcome(as_text(f.get(4, "status"), "status"));
+            if (f.present(5)) a.took = Micros(as_integer(f.at[5], "timeTakenUs"));
+            a.settled = as_bool(f.get(6, "settled"), "settled");
+            if (f.present(8)) a.true_units = as_number(f.at[8], "actual");
+            a.report = read_report(f, 9);
+            return feed(number, instance, a);
+        }
+        case Kind::destroy: instances.erase(found); return;
+        case Kind::gone: return feed(number, instance, ClientLeft{as_unsigned(f.get(1, "xid"), "xid")});
+        case Kind::peer: {
+            const auto bytes = from_base64(as_text(f.get(2, "bytes"), "bytes"));
+            if (!bytes) bad("bytes", "padded base64");
+            const auto from = static_cast<int>(as_integer(f.get(1, "neighbour"), "neighbour"));
+            return feed(number, instance, MessageArrived{from, *bytes});
+        }
+        case Kind::ping: {
+            ProbeEnded p;
+            p.host = as_text(f.get(1, "host"), "host");
+            p.outcome = read_outcome(as_text(f.get(2, "status"), "status"));
+            if (f.present(3)) p.took = Micros(as_integer(f.at[3], "timeTakenUs"));
+            p.report = read_report(f, 4);
+            return feed(number, instance, p);
+        }
+        case Kind::timer: {
+            const std::string_view label = as_text(f.get(1, "label"), "label");
+            std::uint64_t token = 0;
+            const auto read_to = std::from_chars(label.data(), label.data() + label.size(), token);
+            if (read_to.ec != std::errc() || read_to.ptr != label.data() + label.size()) return;  // not ours
+            return feed(number, instance, TimerFired{token});
+        }
+        case Kind::sync: return;
+    }
+}
+
+void Link::State::feed(std::int64_t number, Instance& instance, const Event& event) {
+    actions.clear();
+    instance.gateway.handle(now, event, actions);
+    for (const Action& action : actions) write(number, action);
+}
+
+void Link::State::write(std::int64_t number, const Action& action) {
+    struct Writer {
+        State& s;
+        std::int64_t number;
+        void operator()(const SendAttempt& a) const {
+            s.open("Send", number);
+            s.put(a.id);
+            s.put(a.host);
+            s.put(static_cast<std::uint64_t>(a.within.count()));
+        }
+        void operator()(const Refuse& a) const {
+            s.open("Bounce", number);
+            s.put(a.id);
+            s.put(static_cast<std::uint64_t>(a.retry_after.count()));
+        }
+        void operator()(const Fail& a) const {
+            s.open("DropRequest", number);
+            s.put(a.id);
+        }
+        void operator()(const CancelAttempt& a) const {
+            s.open("Retract", number);
+            s.put(a.id);
+            s.put(static_cast<std::uint64_t>(a.attempt));
+        }
+        void operator()(const ProbeHost& a) const {
+            s.open("Test", number);
+            s.put(a.host);
+        }
+        void operator()(const SetTimer& a) const {
+            s.open("WakeAt", number);
+            s.put(static_cast<std::uint64_t>(a.from_now.count()));
+            s.reply.append(",\"");
+            put_number(s.reply, a.token);
+            s.reply.push_back('"');
+        }
+        void operator()(const SendMessage& a) const {
+            s.open("WritePeer", number);
+            if (a.to < 0) s.put(std::string_view("*"));
+            else s.put(static_cast<std::uint64_t>(a.to));
+            s.reply.append(",\"");
+            append_base64(s.reply, a.bytes);
+            s.reply.push_back('"');
+        }
+    };
+    std::visit(Writer{*this, number}, action);
+    reply.append("]\n");
+}
+
+}  // namespace silverreach::benchlink
--- /dev/null
+++ b/tests/control_test.cpp
@@ -0,0 +1,238 @@
+// The module alone: clock and events are given, actions are looked at.
+#include <gtest/gtest.h>
+
+#include <map>
+#include <random>
+#include <set>
+
+#include "peer_message.h"
+#include "silverreach/interface.h"
+
+using namespace silverreach;
+using namespace std::chrono_literals;
+
+namespace {
+Settings one_gateway() {
+    Settings s;
+    s.classes = {{"read", Effect::safe, RepeatScope::all, 800ms, 2s, 0us, 1, 0}};
+    s.plans = {{"plan", 2, 4, 0, 1, 0, 1, 0, 0}};
+    s.max_attempts = 3;
+    s.second_copies = true;
+    s.may_cancel = s.may_advise_retry = true;
+    s.tick = 4ms;
+    s.cold_time = 10s;
+    s.fall_time = 2s;
+    s.fall_multiple = 2;
+    s.start_capacity = 0.2;
+    return s;
+}
+HostEntry host(const std::string& name, HostState state = HostState::up, std::int64_t cell = 0) {
+    HostEntry h;
+    h.host = name;
+    h.cell = cell;
+    h.state = state;
+    return h;
+}
+
+// A gateway with its clock; keeps all actions.
+struct Bench {
+    Gateway gateway;
+    Micros now{1'000'000};
+    std::vector<Action> actions;
+    std::multimap<Micros, std::uint64_t> timers;
+    explicit Bench(const Settings& s, std::vector<HostEntry> hosts = {host("a"), host("b")}, std::uint64_t seed = 1)
+        : gateway(s, seed, Micros(1'000'000)) {
+        feed(HostsChanged{true, std::move(hosts)});
+    }
+    std::vector<Action> feed(const Event& e) {
+        std::vector<Action> out;
+        gateway.handle(now, e, out);
+        for (const Action& a : out)
+            if (const auto* t = std::get_if<SetTimer>(&a)) timers.emplace(now + t->from_now, t->token);
+        actions.insert(actions.end(), out.begin(), out.end());
+        return out;
+    }
+    // Moves the clock, letting timers fire on their way.
+    std::vector<Action> pass(Micros span) {
+        std::vector<Action> out;
+        const Micros until = now + span;
+        while (!timers.empty() && timers.begin()->first <= until) {
+            now = timers.begin()->first;
+            const std::uint64_t token = timers.begin()->second;
+            timers.erase(timers.begin());
+            const auto more = feed(TimerFired{token});
+            out.insert(out.end(), more.begin(), more.end());
+        }
+        now = until;
+        return out;
+    }
+    std::vector<Action> ask(RequestId id, double units = 1, Micros left = 2s, int plan = 0, int cls = 0,
+                            const std::string& customer = "c", int set = 1) {
+        RequestArrived r;
+        r.id = id, r.customer = customer, r.plan = plan, r.request_class = cls, r.units = units, r.time_left = left;
+        r.set_size = set;
+        return feed(r);
+    }
+    std::vector<Action> end(RequestId id, const std::string& at, Outcome outcome, Micros took, int attempt = 0,
+                            bool settled = false) {
+        AttemptEnded e;
+        e.id = id, e.host = at, e.outcome = outcome, e.took = took, e.attempt = attempt;
+        e.settled = settled || outcome == Outcome::good;
+        return feed(e);
+    }
+};
+template <class T>
+std::vector<T> of(const std::vector<Action>& actions) {
+    std::vector<T> out;
+    for (const Action& a : actions)
+        if (const T* t = std::get_if<T>(&a)) out.push_back(*t);
+    return out;
+}
+// Answers so slow that the back end looks pressed.
+void press(Bench& b) {
+    for (RequestId id = 1000; id < 1030; ++id) {
+        const auto sent = of<SendAttempt>(b.ask(id, 0, 2s, -1, 0, "rateless"));
+        if (!sent.empty()) b.end(id, sent[0].host, Outcome::good, 700ms);
+    }
+}
+}  // namespace
+
+TEST(PlainStore, LetsTheBurstInAndRefusesBeyondWithTheWait) {
+    Bench b(one_gateway());
+    for (RequestId id = 1; id <= 4; ++id) EXPECT_EQ(of<SendAttempt>(b.ask(id)).size(), 1u);
+    const auto refused = of<Refuse>(b.ask(5));
+    ASSERT_EQ(refused.size(), 1u);
+    EXPECT_NEAR(refused[0].retry_after.count(), 500'000, 2);  // one unit at 2 units a second
+    for (RequestId id = 1; id <= 4; ++id) b.end(id, "a", Outcome::good, 100ms);
+    b.pass(500ms + 1us);
+    EXPECT_EQ(of<SendAttempt>(b.ask(6)).size(), 1u);  // the refusal charged nothing
+}
+
+TEST(PlainStore, RatelessPlansGoUnpaced) {
+    Settings s = one_gateway();
+    s.plans[0].rate = s.plans[0].burst = 0;
+    Bench b(s);
+    for (RequestId id = 1; id <= 10; ++id) {
+        const auto sent = of<SendAttempt>(b.ask(id));
+        ASSERT_EQ(sent.size(), 1u);
+        b.end(id, sent[0].host, Outcome::good, 50ms);
+    }
+}
+
+// rate 2, burst 4, one gateway: stable interval 0.5 s, warm-up 2 s, threshold 2, most 4 permits, slope 0.5 s a permit.
+// From full: the first permit costs (1.5 + 1.0) / 2 = 1.25 s.
+TEST(WarmUp, NextCallerPaysAndOverrunIsRefusedEarly) {
+    Bench b(one_gateway());
+    press(b);
+    EXPECT_EQ(of<SendAttempt>(b.ask(1)).size(), 1u);  // leaves at once
+    const auto refused = of<Refuse>(b.ask(2));
+    ASSERT_EQ(refused.size(), 1u);
+    EXPECT_NEAR(refused[0].retry_after.count(), 1'250'000, 2);
+    const auto again = of<Refuse>(b.ask(3));  // and charged nothing
+    ASSERT_EQ(again.size(), 1u);
+    EXPECT_NEAR(again[0].retry_after.count(), 1'250'000, 2);
+}
+
+// Two units across the first part of the slope: 2 x 1.5 - 0.5 x 2 x 2 / 2 = 2 s; a third below the threshold 0.5 s.
+TEST(WarmUp, SeveralUnitsAcrossTheThreshold) {
+    Bench b(one_gateway());
+    press(b);
+    EXPECT_EQ(of<SendAttempt>(b.ask(1, 3)).size(), 1u);
+    const auto refused = of<Refuse>(b.ask(2));
+    ASSERT_EQ(refused.size(), 1u);
+    EXPECT_NEAR(refused[0].retry_after.count(), 2'500'000, 2);
+}
+
+TEST(WarmUp, HoldsAndReleasesByTimer) {
+    Settings s = one_gateway();
+    s.plans[0].rate = 20, s.plans[0].burst = 40;  // stable 50 ms: the first permit of a full store costs 150 ms or less
+    Bench b(s);
+    press(b);
+    EXPECT_EQ(of<SendAttempt>(b.ask(1)).size(), 1u);
+    EXPECT_TRUE(of<SendAttempt>(b.ask(2)).empty());
+    EXPECT_TRUE(of<SendAttempt>(b.pass(100ms)).empty());
+    EXPECT_EQ(of<SendAttempt>(b.pass(60ms)).size(), 1u);
+}
+
+TEST(Rules, EveryRequestGetsItsAnswerInTime) {
+    Bench b(one_gateway(), {host("a")});
+    b.ask(1, 1, 300ms);
+    const auto out = b.pass(300ms);
+    EXPECT_EQ(of<Refuse>(out).size() + of<Fail>(out).size(), 1u);
+}
+
+TEST(Rules, NothingGoesToADrainingHost) {
+    Bench b(one_gateway());
+    b.feed(HostsChanged{false, {host("a", HostState::draining)}});
+    for (RequestId id = 1; id <= 4; ++id) {
+        const auto sent = of<SendAttempt>(b.ask(id));
+        ASSERT_EQ(sent.size(), 1u);
+        EXPECT_EQ(sent[0].host, "b");
+    }
+}
+
+TEST(Rules, NoHostsMeansAnAnswerAllTheSame) {
+    Bench b(one_gateway(), {});
+    b.ask(1);
+    EXPECT_EQ(of<Refuse>(b.pass(2s)).size(), 1u);
+}
+
+TEST(Rules, AKeyedRequestStaysInItsCellAndIsNotRefusedOnceItMayHaveRun) {
+    Settings s = one_gateway();
+    s.classes[0].effect = Effect::keyed;
+    s.classes[0].repeat_scope = RepeatScope::cell;
+    s.classes[0].repeat_window = 1s;
+    s.second_copies = false;
+    for (std::uint64_t seed = 0; seed < 20; ++seed) {
+        Bench b(s, {host("a", HostState::up, 1), host("b", HostState::up, 2), host("c", HostState::up, 2)}, seed);
+        const auto first = of<SendAttempt>(b.ask(1));
+        ASSERT_EQ(first.size(), 1u);
+        b.now += 50ms;
+        const auto next = b.end(1, first[0].host, Outcome::reset, 50ms);
+        EXPECT_TRUE(of<Refuse>(next).empty());
+        for (const SendAttempt& a : of<SendAttempt>(next)) EXPECT_EQ(a.host == "a", first[0].host == "a");
+        EXPECT_TRUE(of<Refuse>(b.pass(2s)).empty());
+        EXPECT_EQ(of<Fail>(b.actions).size(), 1u);
+    }
+}
+
+TEST(Rules, AnUnsafeRequestIsNotRepeatedOnceItMayHaveRun) {
+    Settings s = one_gateway();
+    s.classes[0].effect = Effect::unsafe;
+    Bench b(s, {host("a"), host("b"), host("c")});
+    const auto first = of<SendAttempt>(b.ask(1));
+    ASSERT_EQ(first.size(), 1u);
+    const auto next = b.end(1, first[0].host, Outcome::reset, 50ms);
+    EXPECT_TRUE(of<SendAttempt>(next).empty());
+    EXPECT_EQ(of<Fail>(next).size(), 1u);
+    ASSERT_EQ(of<SendAttempt>(b.ask(2)).size(), 1u);
+    EXPECT_EQ(of<SendAttempt>(b.end(2, of<SendAttempt>(b.actions).back().host, Outcome::full, 5ms)).size(), 1u);
+}
+
+TEST(Ceiling, AFreshInstanceHasNothingOfABurstItMayHaveSpentBefore) {
+    Settings s = one_gateway();
+    s.plans[0].hard_rate = 4, s.plans[0].hard_burst = 8;
+    Bench b(s);
+    EXPECT_EQ(of<Refuse>(b.ask(1)).size(), 1u);
+    b.pass(250ms + 1us);
+    EXPECT_EQ(of<SendAttempt>(b.ask(2)).size(), 1u);
+}
+
+TEST(Settings, BadOnesGetAPlainMessage) {
+    Settings s = one_gateway();
+    s.rank = 3;
+    EXPECT_THROW(Gateway(s, 1, 0us), std::invalid_argument);
+    s = one_gateway();
+    s.plans[0].rate = -1;
+    EXPECT_THROW(Gateway(s, 1, 0us), std::invalid_argument);
+}
+
+TEST(Events, UnknownOnesChangeNothing) {
+    Bench b(one_gateway());
+    EXPECT_TRUE(b.feed(ClientLeft{99}).empty());
+    EXPECT_TRUE(b.end(99, "nowhere", Outcome::timeout, 1s).empty());
+    EXPECT_TRUE(b.feed(MessageArrived{0, "junk"}).empty());
+    EXPECT_TRUE(b.feed(MessageArrived{77, "junk"}).empty());
+    EXPECT_TRUE(b.feed(TimerFired{~0ull}).empty());
+    EXPECT_TRUE(b.feed(ProbeEnded{}).empty());
+}
