--- a/src/control.cpp
+++ b/src/control.cpp
@@ -33,7 +33,7 @@
 constexpr double room_below = 0.08;           // slow share under which there is room for more than quotas
 constexpr double answer_weight = 0.05;        // weight of one answer in a host's and the fleet's answer time
 constexpr double margin_answers = 1.3;        // time kept for the answer when held, in mean answer times
-constexpr double margin_most = 0.5;           // and at most this part of the aim
+constexpr double margin_most = 0.8;           // and at most this part of the aim
 constexpr double limit_start = 8;             // attempts out at one host before anything is known of it
 constexpr double limit_most = 64;             // more in flight at one host from one gateway never helps
 constexpr double limit_cut = 0.9;             // cut on an answer near its aim, timeout or full
@@ -433,17 +433,18 @@
         timer(q.latest_start - now_, q.ask.id, expiry_timer);
     }
 
-    // Lets waiting requests go while hosts have room, oldest first.
+    // Lets waiting requests go while hosts have room, newest first: in overload a queue served in order makes every
+    // request leave at its last moment and finish late; served from its fresh end, those sent can still be in time.
+    // Guards against any lasting shortage of hosts; harms the few that wait in a short one.
     void pump() {
-        for (std::size_t i = 0; i < waiting_.size();) {
+        for (std::size_t i = waiting_.size(); i-- > 0;) {
             const auto it = requests_.find(waiting_[i]);
-            if (it == requests_.end() || !it->second.waiting) {
-                waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(i));
+            const bool waits = it != requests_.end() && it->second.waiting;
+            if (waits && !(now_ <= it->second.latest_start && try_send(it->second))) {
+                if (!it->second.maybe_ran) return;
                 continue;
             }
-            if (now_ <= it->second.latest_start && try_send(it->second)) continue;
-            if (!it->second.maybe_ran) return;
-            ++i;
+            waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(i));
         }
     }
 
