--- a/src/control.cpp
+++ b/src/control.cpp
@@ -34,10 +34,10 @@
 constexpr double answer_weight = 0.05;        // weight of one answer in a host's and the fleet's answer time
 constexpr double margin_answers = 1.3;        // time kept for the answer when held, in mean answer times
 constexpr double margin_most = 0.8;           // and at most this part of the aim
-constexpr double limit_start = 8;             // attempts out at one host before anything is known of it
+constexpr double limit_start = 3;             // attempts out at one host before anything is known of it
 constexpr double limit_most = 64;             // more in flight at one host from one gateway never helps
 constexpr double limit_cut = 0.9;             // cut on an answer near its aim, timeout or full
-constexpr double limit_slow_part = 0.45;      // answer time as part of the aim that cuts the limit
+constexpr double limit_slow_part = 0.35;      // answer time as part of the aim that cuts the limit
 constexpr Micros limit_pause = 100ms;         // one cut for one cause
 constexpr double silent_answers = 3.5;        // expected answers missing when silence is evidence (e^-3.5 = 3%)
 constexpr double check_earliest = 0.25;       // silence is looked for between these parts of the aim
