--- a/src/control.cpp
+++ b/src/control.cpp
@@ -19,6 +19,7 @@
 constexpr double cold_factor = 3;             // SmoothWarmingUp's coldInterval / stableInterval, by the design
 constexpr double use_memory_s = 2;            // memory of recent use; shares follow busiest-gateway shifts of seconds
 constexpr double even_prior_s = 0.25;         // seconds of quota at even split blended into every share
+constexpr double debt_most = 0.25;            // told use may push a store this part of its burst below empty
 constexpr Micros silence_starts = 1s;         // a peer is told several times a second; this is many losses in a row
 constexpr Micros silence_full = 3s;           // by then the share is the even split
 constexpr Micros news_period = 125ms;         // pace of messages: far below spike lengths, cheap in bytes
@@ -614,7 +615,10 @@
             const double units = std::min(step / 16.0, p->burst);
             if (units <= 0) continue;
             touch(c);
-            c.level = std::max(std::min(c.level, 0.0), c.level - units);
+            // What was withheld for the others pays first; a debit cut at an empty store would be forgotten.
+            const double kept_back = std::min(c.withheld, units);
+            c.withheld -= kept_back;
+            c.level = std::max(std::min(c.level, -debt_most * p->burst), c.level - (units - kept_back));
             c.others.add(units, now_, use_memory_s);
         }
         for (auto& [name, h] : hosts_) h.told_out.resize(static_cast<std::size_t>(s_.instances));
