--- a/src/control.cpp
+++ b/src/control.cpp
@@ -145,6 +145,25 @@
     std::int64_t group_cell = 0;
 };
 
+// How answer times grow with a request's units, learned from answers: a line through faded moments.
+struct AnswerTime {
+    double weight = 0, units = 0, time = 0, units_units = 0, units_time = 0;
+    void add(double k, double t) {
+        weight += answer_weight * (1 - weight);
+        units += answer_weight * (k - units);
+        time += answer_weight * (t - time);
+        units_units += answer_weight * (k * k - units_units);
+        units_time += answer_weight * (k * t - units_time);
+    }
+    double expected(double k) const {
+        if (weight <= 0) return 0;
+        const double mean_k = units / weight, mean_t = time / weight;
+        const double spread = units_units / weight - mean_k * mean_k;
+        const double slope = spread > 1e-9 ? (units_time / weight - mean_k * mean_t) / spread : 0;
+        return mean_t + std::max(0.0, slope) * (k - mean_k);
+    }
+};
+
 struct Peer {
     std::uint32_t life = 0;
     Micros heard{0};
@@ -272,7 +291,7 @@
         q.arrived = now_;
         q.deadline = now_ + r.time_left;
         const double left = useful_left(r);
-        q.latest_start = now_ + micros(left - std::min(margin_answers * answer_s_, margin_most * left));
+        q.latest_start = now_ + micros(left - std::clamp(margin_answers * by_units_.expected(r.units), 0.0, margin_most * left));
         const double k = q.ask.units;
         Micros wait{0};
         if (const Plan* p = plan_of(c)) {
@@ -506,6 +525,8 @@
             host->second.out = std::max(0, host->second.out - 1);
             const double aim = found == requests_.end() ? aim_s() : seconds(s_.classes[found->second.ask.request_class].aim);
             judge(host->second, a, aim);
+            if (a.outcome == Outcome::good || a.outcome == Outcome::timeout)
+                by_units_.add(found == requests_.end() ? mean_units_ : found->second.ask.units, seconds(a.took));
         }
         if (found != requests_.end()) {
             Request& q = found->second;
@@ -717,6 +738,7 @@
     std::deque<std::uint32_t> to_tell_;
     Fading warm_sent_, retry_earned_, retry_spent_;
     double answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0;
+    AnswerTime by_units_;
     bool pressed_ = false;
 };
 
