--- a/src/control.cpp
+++ b/src/control.cpp
@@ -29,8 +29,8 @@
 constexpr Micros sweep_period = 5s;           // how often ageing runs
 constexpr double slow_part = 0.5;             // an answer slower than this part of its aim counts as slow
 constexpr double slow_weight = 0.04;          // weight of one answer in the slow share
-constexpr double pressed_from = 0.10;         // slow or full share from which the back end looks pressed to some
-constexpr double pressed_full = 0.40;         // requests, chosen by chance, and at which it does to all
+constexpr double pressed_above = 0.35;        // slow or full share at which the back end looks pressed
+constexpr double relieved_below = 0.30;       // and at which it no longer does
 constexpr double room_below = 0.08;           // slow share under which there is room for more than quotas
 constexpr double answer_weight = 0.05;        // weight of one answer in a host's and the fleet's answer time
 constexpr double margin_answers = 1.3;        // time kept for the answer when held, in mean answer times
@@ -275,12 +275,7 @@
         return seconds(std::min(r.time_left, s_.classes[r.request_class].aim));
     }
 
-    bool room() const { return slow_share_ < room_below && waiting_.empty(); }
-
-    // Binding by degrees keeps the limiter from swinging the load between flood and throttle. Harms nobody for long:
-    // chance falls on each request anew.
-    bool looks_pressed() { return slow_share_ > pressed_from + chance() * (pressed_full - pressed_from); }
-    double chance() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
+    bool room() const { return !pressed_ && slow_share_ < room_below && waiting_.empty(); }
 
     // Decides on one request: the plain store always, the split slice with warm-up cost while pressed.
     void on(const RequestArrived& r) {
@@ -309,7 +304,7 @@
                 return refuse_new(r, p->rate > 0 ? micros((k - c.level) / (p->rate * part)) : answer_time());
             const double hard = c.hard_level - c.hard_reserved;
             if (p->hard_rate > 0 && hard < k) return refuse_new(r, micros((k - hard) / (p->hard_rate / n)));
-            if (looks_pressed() && p->rate > 0 && p->burst > 0) {
+            if (pressed_ && p->rate > 0 && p->burst > 0) {
                 const double stable_s = n / p->rate, warmup_s = p->burst / p->rate;
                 c.limiter.resync(now_, stable_s, warmup_s);
                 wait = c.limiter.next_free - now_;
@@ -401,7 +396,7 @@
             double cost = (h.out + told_out(h) + 1) * answer / (std::max(h.entry.weight, 1e-3) * warm);
             if (h.entry.zone != s_.zone) cost *= 1 + 5 * s_.cross_zone_cost;
             if (name == q.last_host) cost *= 4;
-            cost *= 0.95 + 0.1 * chance();
+            cost *= 0.95 + 0.1 * (static_cast<double>(random_() >> 11) * 0x1p-53);
             if (!best || cost < best_cost) best = &h, best_cost = cost;
         }
         return best;
@@ -509,6 +504,7 @@
         }
         if (good || bad) {
             slow_share_ += slow_weight * ((bad || took > slow_part * aim_s) - slow_share_);
+            pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
         if (a.outcome == Outcome::full) h.blocked_until = std::max(h.blocked_until, now_ + full_pause);
         // Outlier ejection: answers any run of failures, fast or slow. Harms if all hosts fail for one client's sake.
@@ -743,6 +739,7 @@
     Fading warm_sent_, retry_earned_, retry_spent_;
     double answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0;
     AnswerTime by_units_;
+    bool pressed_ = false;
 };
 
 Gateway::Gateway(Settings settings, std::uint64_t seed, Micros now)
