--- a/src/control.cpp
+++ b/src/control.cpp
@@ -261,8 +261,9 @@
             c.set_size = set;
             c.touched = c.withheld_since = boot_;
             by_hash_[c.hash] = &c;
-            // The ceiling's part starts empty at the start of this instance: a former life may have spent it all.
-            if (const Plan* p = plan_of(c)) c.level = p->burst;
+            // Stores count from the start of this instance: the plain one from the even slice of the burst, the ceiling's
+            // part from nothing, for a former life may have spent it all.
+            if (const Plan* p = plan_of(c)) c.level = p->burst / set;
         }
         c.set_start = r.set_start % s_.instances;
         c.set_size = std::max(c.set_size, set);
