--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -340,6 +340,7 @@
                     g.feed(HostsChanged{true, {host("a"), host("b")}});
                     out.clear();
                 }
+                if (step % 500 < 150) continue;  // idle spells let the parts fill
                 const double units = static_cast<double>(1 + random() % 3);
                 const auto id = static_cast<RequestId>(10 * step + rank + 1);
                 const auto more = g.ask(id, units, 500ms, 0, 0, "c", 2);
@@ -356,7 +357,7 @@
             lowest = std::min(lowest, store);
         }
         EXPECT_GE(lowest, 0.0) << "seed " << seed;
-        EXPECT_LT(lowest, 9.0) << "seed " << seed;  // and it was asked for in earnest
+        EXPECT_LT(lowest, 3.0) << "seed " << seed;  // and it was asked for in earnest
     }
 }
 
