--- a/src/control.cpp
+++ b/src/control.cpp
@@ -39,7 +39,6 @@
 constexpr double limit_most = 64;             // more in flight at one host from one gateway never helps
 constexpr double limit_cut = 0.9;             // cut on an answer near its aim, timeout or full
 constexpr double limit_slow_part = 0.35;      // answer time as part of the aim that cuts the limit
-constexpr Micros rest_most = 1s;              // longest rest of a host that stays slow at one attempt out
 constexpr Micros limit_pause = 100ms;         // one cut for one cause
 constexpr double silent_answers = 3.5;        // expected answers missing when silence is evidence (e^-3.5 = 3%)
 constexpr double check_earliest = 0.25;       // silence is looked for between these parts of the aim
@@ -500,9 +499,6 @@
         }
         const bool bad = a.outcome == Outcome::full || a.outcome == Outcome::timeout;
         if (bad || (good && took > limit_slow_part * aim_s)) {
-            // Slow even at one attempt out: rested for as long as the slow answer took. Guards against hosts that serve
-            // less the more they are driven, of whatever cause; harms when one costly request was to blame (one rest).
-            if (h.out_limit <= 1) h.blocked_until = std::max(h.blocked_until, now_ + std::min(a.took, rest_most));
             if (now_ - h.last_cut >= limit_pause) h.out_limit = std::max(1.0, h.out_limit * limit_cut), h.last_cut = now_;
         } else if (good && h.out + 2 > h.out_limit) {
             h.out_limit = std::min(limit_most, h.out_limit + 1 / h.out_limit);
