--- a/src/control.cpp
+++ b/src/control.cpp
@@ -423,12 +423,8 @@
         q.last_host = h->entry.host;
         q.last_sent = now_;
         note_sent(*h, q.ask.units);
-        // Where a late answer earns nothing an attempt ends with the aim: hosts that drop expired work then do, and
-        // the place at the host is free again. Harms what the host still works on unseen.
-        const RequestClass& k = s_.classes[q.ask.request_class];
-        const Micros end = k.late_worth > 0 ? q.deadline : std::min(q.deadline, q.arrived + k.aim);
-        actions_->push_back(SendAttempt{q.ask.id, h->entry.host, std::max(end - now_, 1us)});
-        const double aim = seconds(k.aim);
+        actions_->push_back(SendAttempt{q.ask.id, h->entry.host, std::max(q.deadline - now_, 1us)});
+        const double aim = seconds(s_.classes[q.ask.request_class].aim);
         timer(micros(std::clamp(silent_answers * answer_s_, check_earliest * aim, check_latest * aim)), q.ask.id,
               check_timer);
         return true;
