--- a/src/control.cpp
+++ b/src/control.cpp
@@ -39,6 +39,7 @@
 constexpr double limit_most = 64;             // more in flight at one host from one gateway never helps
 constexpr double limit_cut = 0.9;             // cut on an answer near its aim, timeout or full
 constexpr double limit_slow_part = 0.35;      // answer time as part of the aim that cuts the limit
+constexpr double ghost_memory_s = 1;          // a timed-out attempt goes on filling its place at the host about this long
 constexpr Micros limit_pause = 100ms;         // one cut for one cause
 constexpr double silent_answers = 3.5;        // expected answers missing when silence is evidence (e^-3.5 = 3%)
 constexpr double check_earliest = 0.25;       // silence is looked for between these parts of the aim
@@ -126,6 +127,7 @@
     int out = 0;  // own attempts out
     double out_limit = limit_start;
     Micros last_cut{0}, last_answer{0}, blocked_until{0};
+    Fading ghosts;        // attempts timed out that the host may still work on
     double answer_s = 0;  // mean answer time; 0: none seen
     int failures = 0, ejections = 0;
     double cold_tokens = 0;
@@ -365,6 +367,10 @@
         h.cold_at = now_;
     }
 
+    // Own attempts at a host, with those given up that it cannot be assumed to have stopped. Guards against filling a
+    // host with unseen work; harms where a time-out did stop the work (it then stands idle for the memory's length).
+    double busy(const Host& h) const { return h.out + h.ghosts.value(now_, ghost_memory_s); }
+
     double told_out(const Host& h) const {
         double sum = 0;
         for (const auto& [count, when] : h.told_out)
@@ -385,7 +391,7 @@
         Host* best = nullptr;
         double best_cost = 0;
         for (auto& [name, h] : hosts_) {
-            if (h.entry.state != HostState::up || h.out >= h.out_limit || now_ < h.blocked_until) continue;
+            if (h.entry.state != HostState::up || busy(h) >= h.out_limit || now_ < h.blocked_until) continue;
             if (h.ejections > 0 && h.failures > 0 && h.out > 0) continue;  // one trial at a time
             if (!in_group(q, h)) continue;
             const double warm = capacity_share(h);
@@ -394,7 +400,7 @@
                 if (h.cold_tokens <= 0) continue;
             }
             const double answer = h.answer_s > 0 ? h.answer_s : std::max(answer_s_, 1e-3);
-            double cost = (h.out + told_out(h) + 1) * answer / (std::max(h.entry.weight, 1e-3) * warm);
+            double cost = (busy(h) + told_out(h) + 1) * answer / (std::max(h.entry.weight, 1e-3) * warm);
             if (h.entry.zone != s_.zone) cost *= 1 + 5 * s_.cross_zone_cost;
             if (name == q.last_host) cost *= 4;
             cost *= 0.95 + 0.1 * (static_cast<double>(random_() >> 11) * 0x1p-53);
@@ -507,6 +513,7 @@
             slow_share_ += slow_weight * ((bad || took > slow_part * aim_s) - slow_share_);
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
+        if (a.outcome == Outcome::timeout || a.outcome == Outcome::cancelled) h.ghosts.add(1, now_, ghost_memory_s);
         if (a.outcome == Outcome::full) h.blocked_until = std::max(h.blocked_until, now_ + full_pause);
         // Outlier ejection: answers any run of failures, fast or slow. Harms if all hosts fail for one client's sake.
         if (a.outcome == Outcome::error || a.outcome == Outcome::timeout) fail(h, 1);
