--- a/src/control.cpp
+++ b/src/control.cpp
@@ -38,7 +38,7 @@
 constexpr double limit_start = 3;             // attempts out at one host before anything is known of it
 constexpr double limit_most = 64;             // more in flight at one host from one gateway never helps
 constexpr double limit_cut = 0.9;             // cut on an answer near its aim, timeout or full
-constexpr double limit_slow_part = 0.35;      // answer time as part of the aim that cuts the limit
+constexpr double limit_slow_part = 0.25;      // answer time as part of the aim that cuts the limit
 constexpr double ghost_memory_s = 1;          // a timed-out attempt goes on filling its place at the host about this long
 constexpr Micros limit_pause = 100ms;         // one cut for one cause
 constexpr double silent_answers = 3.5;        // expected answers missing when silence is evidence (e^-3.5 = 3%)
