Limit the attempts of all gateways together at a host, own and told

Peers already tell their attempts out; a silent one counts as busy as this gateway. What else: restarted hosts, any fleet size. Harm: news is a few hundred ms old.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -35,8 +35,9 @@
 constexpr double answer_weight = 0.05;        // weight of one answer in a host's and the fleet's answer time
 constexpr double margin_answers = 1.3;        // time kept for the answer when held, in mean answer times
 constexpr double margin_most = 0.8;           // and at most this part of the aim
-constexpr double limit_start = 3;             // attempts out at one host before anything is known of it
-constexpr double limit_most = 64;             // more in flight at one host from one gateway never helps
+constexpr double limit_start = 3;             // attempts out at one host, by all gateways, before anything is known
+constexpr double limit_least = 2;             // by all gateways; fewer would leave most hosts' cores idle
+constexpr double limit_most = 128;            // more in flight at one host never helps
 constexpr double limit_cut = 0.9;             // cut on an answer near its aim, timeout or full
 constexpr double limit_slow_part = 0.25;      // answer time as part of the aim that cuts the limit
 constexpr double ghost_memory_s = 1;          // a timed-out attempt goes on filling its place at the host about this long
@@ -371,11 +372,14 @@
     // host with unseen work; harms where a time-out did stop the work (it then stands idle for the memory's length).
     double busy(const Host& h) const { return h.out + h.ghosts.value(now_, ghost_memory_s); }
 
-    double told_out(const Host& h) const {
-        double sum = 0;
+    // Attempts out at a host by all gateways: own ones, those that peers told, and for a silent peer as many as here.
+    // The limit is on this sum: limits of each gateway's own would add up with their number and overdrive hosts.
+    double load(const Host& h) const {
+        double told = 0;
+        int silent = s_.instances - 1;
         for (const auto& [count, when] : h.told_out)
-            if (now_ - when < told_out_valid) sum += count;
-        return sum;
+            if (when > 0us && now_ - when < told_out_valid) told += count, --silent;
+        return busy(h) * (1 + silent) + told;
     }
 
     bool in_group(const Request& q, const Host& h) const {
@@ -391,16 +395,18 @@
         Host* best = nullptr;
         double best_cost = 0;
         for (auto& [name, h] : hosts_) {
-            if (h.entry.state != HostState::up || busy(h) >= h.out_limit || now_ < h.blocked_until) continue;
+            if (h.entry.state != HostState::up || now_ < h.blocked_until) continue;
             if (h.ejections > 0 && h.failures > 0 && h.out > 0) continue;  // one trial at a time
             if (!in_group(q, h)) continue;
+            const double held = load(h);
+            if (held >= h.out_limit) continue;
             const double warm = capacity_share(h);
             if (warm < 1) {
                 refill_cold(h);
                 if (h.cold_tokens <= 0) continue;
             }
             const double answer = h.answer_s > 0 ? h.answer_s : std::max(answer_s_, 1e-3);
-            double cost = (busy(h) + told_out(h) + 1) * answer / (std::max(h.entry.weight, 1e-3) * warm);
+            double cost = (held + 1) * answer / (std::max(h.entry.weight, 1e-3) * warm);
             if (h.entry.zone != s_.zone) cost *= 1 + 5 * s_.cross_zone_cost;
             if (name == q.last_host) cost *= 4;
             cost *= 0.95 + 0.1 * (static_cast<double>(random_() >> 11) * 0x1p-53);
@@ -505,9 +511,9 @@
         }
         const bool bad = a.outcome == Outcome::full || a.outcome == Outcome::timeout;
         if (bad || (good && took > limit_slow_part * aim_s)) {
-            if (now_ - h.last_cut >= limit_pause) h.out_limit = std::max(1.0, h.out_limit * limit_cut), h.last_cut = now_;
-        } else if (good && h.out + 2 > h.out_limit) {
-            h.out_limit = std::min(limit_most, h.out_limit + 1 / h.out_limit);
+            if (now_ - h.last_cut >= limit_pause) h.out_limit = std::max(limit_least, h.out_limit * limit_cut), h.last_cut = now_;
+        } else if (good && load(h) + 2 > h.out_limit) {
+            h.out_limit = std::min(limit_most, h.out_limit + std::min(1.0, s_.instances / h.out_limit));
         }
         if (good || bad) {
             slow_share_ += slow_weight * ((bad || took > slow_part * aim_s) - slow_share_);
