News fills 0.9 of a peer's intake and is not repeated while more waits

Cause: with 12 gateways news went out every 300 ms and its line grew (three messages a second with 20 uses each against 110 to tell).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -23,7 +23,7 @@
 constexpr Micros silence_starts = 1s;         // a peer is told several times a second; this is many losses in a row
 constexpr Micros silence_full = 3s;           // by then the share is the even split
 constexpr Micros news_period = 125ms;         // pace of messages: far below spike lengths, cheap in bytes
-constexpr double mail_share = 0.6;            // part of a peer's intake that news may fill
+constexpr double mail_share = 0.9;            // part of a peer's intake that news may fill
 constexpr int news_repeats = 2;               // messages that carry one change, against loss
 constexpr Micros idle_after = 60s;            // idle customers age out; their stores are full long before
 constexpr Micros sweep_period = 5s;           // how often ageing runs
@@ -683,7 +683,8 @@
             if (it == by_hash_.end()) continue;
             Customer& c = *it->second;
             news.uses.push_back({hash, c.total});
-            if (--c.tell > 0) later.push_back(hash);
+            c.tell = to_tell_.size() > room ? 0 : c.tell - 1;  // no repeats while news is waiting
+            if (c.tell > 0) later.push_back(hash);
         }
         to_tell_.insert(to_tell_.end(), later.begin(), later.end());
         actions_->push_back(SendMessage{-1, pack(news)});
