--- a/src/control.cpp
+++ b/src/control.cpp
@@ -26,6 +26,7 @@
 constexpr double mail_share = 0.9;            // part of a peer's intake that news may fill
 constexpr int news_repeats = 2;               // messages that carry one change, against loss
 constexpr Micros idle_after = 60s;            // idle customers age out; their stores are full long before
+constexpr double stranger_most = 50;          // units that one word on a customer not seen here may count
 constexpr Micros sweep_period = 5s;           // how often ageing runs
 constexpr double slow_part = 0.5;             // an answer slower than this part of its aim counts as slow
 constexpr double slow_weight = 0.04;          // weight of one answer in the slow share
@@ -102,6 +103,28 @@
     }
 };
 
+// What peers told of one customer's use.
+struct ToldUse {
+    struct Of {
+        int peer;
+        std::uint32_t life, total;
+    };
+    std::vector<Of> of;
+    Fading recent;
+    // Units since the peer's last word in this life; older words that come late count nothing.
+    double take(int peer, std::uint32_t life, std::uint32_t total, double most, Micros now) {
+        auto it = std::find_if(of.begin(), of.end(), [&](const Of& o) { return o.peer == peer; });
+        if (it == of.end()) it = of.insert(it, {peer, life, 0});
+        if (it->life != life) *it = {peer, life, 0};
+        const std::uint32_t step = (total - it->total) % total_modulus;
+        if (step >= total_modulus / 2) return 0;
+        it->total = total;
+        const double units = std::min(step / 16.0, most);
+        recent.add(units, now, use_memory_s);
+        return units;
+    }
+};
+
 struct Customer {
     std::uint32_t hash = 0;
     int plan = -1, set_size = 1, set_start = 0;
@@ -109,18 +132,14 @@
     double level = 0;      // plain store: units of the quota this gateway may still send on
     double withheld = 0;   // refill kept back for the other gateways until they tell their use
     Micros withheld_since{0};
-    Fading own, others;    // recent use, here and as told
+    Fading own;            // recent use here
+    ToldUse told;          // and elsewhere
     std::uint32_t total = 0;  // sixteenths of units sent on inside the quota, as told to peers
     int tell = 0;             // messages that still have to carry it
     double hard_level = 0, hard_reserved = 0;  // this gateway's own part of the ceiling
     int open = 0;                              // attempts out
     int requests = 0;                          // requests in hand
     WarmUpLimiter limiter;
-    struct Told {
-        int peer;
-        std::uint32_t life, total;
-    };
-    std::vector<Told> told;
 };
 
 struct Host {
@@ -220,7 +239,7 @@
     double share(const Customer& c, const Plan& p, double silent) const {
         const double n = c.set_size;
         const double prior = even_prior_s * p.rate;
-        const double own = c.own.value(now_, use_memory_s), others = c.others.value(now_, use_memory_s);
+        const double own = c.own.value(now_, use_memory_s), others = c.told.recent.value(now_, use_memory_s);
         const double part = (own + prior / n) / (own + others + prior);
         return (1 - silent) * part + silent / n;
     }
@@ -272,6 +291,14 @@
         c.set_size = std::max(c.set_size, set);
         c.last_use = now_;
         touch(c);
+        // New here but known to peers: what they told of it has thinned the store in the part that their use is of
+        // the quota. Guards against a full store at every gateway a heavy customer comes to.
+        if (const auto known = fresh ? strangers_.find(c.hash) : strangers_.end(); known != strangers_.end()) {
+            c.told = std::move(known->second);
+            strangers_.erase(known);
+            if (const Plan* p = plan_of(c); p && p->rate > 0)
+                c.level *= std::max(0.0, 1 - c.told.recent.value(now_, use_memory_s) / (use_memory_s * p->rate));
+        }
         return c;
     }
 
@@ -637,24 +664,20 @@
         peer.heard = now_;
         for (const PeerUse& use : news->uses) {
             const auto it = by_hash_.find(use.customer);
-            if (it == by_hash_.end()) continue;
+            if (it == by_hash_.end()) {
+                strangers_[use.customer].take(m.from, news->life, use.total, stranger_most, now_);
+                continue;
+            }
             Customer& c = *it->second;
             const Plan* p = plan_of(c);
             if (!p) continue;
-            auto told = std::find_if(c.told.begin(), c.told.end(), [&](const auto& t) { return t.peer == m.from; });
-            if (told == c.told.end()) told = c.told.insert(c.told.end(), {m.from, news->life, 0});
-            if (told->life != news->life) *told = {m.from, news->life, 0};
-            const std::uint32_t step = (use.total - told->total) % total_modulus;
-            if (step >= total_modulus / 2) continue;  // reordered: older than what is known
-            told->total = use.total;
-            const double units = std::min(step / 16.0, p->burst);
-            if (units <= 0) continue;
             touch(c);
+            const double units = c.told.take(m.from, news->life, use.total, p->burst, now_);
+            if (units <= 0) continue;
             // What was withheld for the others pays first; a debit cut at an empty store would be forgotten.
             const double kept_back = std::min(c.withheld, units);
             c.withheld -= kept_back;
             c.level = std::max(std::min(c.level, -debt_most * p->burst), c.level - (units - kept_back));
-            c.others.add(units, now_, use_memory_s);
         }
         for (auto& [name, h] : hosts_) h.told_out.resize(static_cast<std::size_t>(s_.instances));
         for (auto& [name, h] : hosts_) {
@@ -726,6 +749,7 @@
 
     // Ages out idle customers; one that still has requests in hand stays.
     void sweep() {
+        std::erase_if(strangers_, [this](const auto& s) { return now_ - s.second.recent.at >= idle_after; });
         for (auto it = customers_.begin(); it != customers_.end();) {
             Customer& c = it->second;
             if (now_ - c.last_use < idle_after || c.requests > 0) {
@@ -746,6 +770,7 @@
     std::uint16_t sequence_ = 0;
     std::unordered_map<std::string, Customer> customers_;
     std::unordered_map<std::uint32_t, Customer*> by_hash_;
+    std::unordered_map<std::uint32_t, ToldUse> strangers_;  // told by peers, not yet seen here
     std::unordered_map<RequestId, Request> requests_;
     std::map<std::string, Host> hosts_;
     std::vector<Peer> peers_;
