--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -273,6 +273,35 @@
     EXPECT_EQ(admitted(a, 1, 6), 2);
 }
 
+// Found in i4be97f: use told of a customer not yet seen here was dropped, so each gateway met it with a full store.
+TEST(Slice, UseToldOfACustomerNotYetSeenThinsItsFirstStore) {
+    Bench a(one_of_two()), b(one_of_two());
+    for (std::uint32_t second = 1; second <= 8; ++second) {
+        a.pass(1s);
+        b.pass(1s);
+        a.feed(MessageArrived{1, told(9, 32 * second)});  // 2 units a second, all of the quota
+        b.feed(MessageArrived{1, pack({9, 0, {}, {}})});
+    }
+    EXPECT_LE(admitted(a, 1, 6), 1);
+    EXPECT_EQ(admitted(b, 1, 6), 4);
+}
+
+// Found in i617617: each gateway's own limit added up with their number and overdrove the hosts.
+TEST(Limits, CountWhatPeersHaveOutAtAHost) {
+    Settings s = one_of_two();
+    s.plans[0].rate = s.plans[0].burst = 0;
+    const auto sent_beside = [&](std::uint8_t others) {
+        Bench b(s, {host("a")});
+        b.feed(MessageArrived{1, pack({9, 0, {}, {{static_cast<std::uint16_t>(name_hash("a")), others}}})});
+        std::size_t sent = 0;
+        for (RequestId id = 1; id <= 10; ++id) sent += of<SendAttempt>(b.ask(id)).size();
+        return sent;
+    };
+    EXPECT_EQ(sent_beside(0), 3u);
+    EXPECT_EQ(sent_beside(2), 1u);
+    EXPECT_EQ(sent_beside(200), 0u);
+}
+
 // Found in i8ecd6f: a queue served in order let every request leave at its last moment.
 TEST(Waiting, TheNewestLeavesFirst) {
     Settings s = one_gateway();
