--- a/src/control.cpp
+++ b/src/control.cpp
@@ -144,8 +144,7 @@
 
 struct Host {
     HostEntry entry;
-    int out = 0;    // own attempts out
-    int stray = 0;  // of them, those that look lost rather than in work
+    int out = 0;  // own attempts out
     double out_limit = limit_start;
     Micros last_cut{0}, last_answer{0}, blocked_until{0};
     Fading ghosts;        // attempts timed out that the host may still work on
@@ -160,10 +159,10 @@
     RequestArrived ask;
     Customer* customer = nullptr;
     Micros arrived{0}, deadline{0}, latest_start{0};
-    bool in_quota = true, sent = false, held = false, waiting = false, maybe_ran = false, stray = false;
+    bool in_quota = true, sent = false, held = false, waiting = false, maybe_ran = false;
     int attempts = 0, out = 0;
     Micros last_sent{0}, first_maybe{0};
-    std::string last_host, stray_host;
+    std::string last_host;
     std::string group_zone;
     std::int64_t group_cell = 0;
 };
@@ -398,7 +397,7 @@
 
     // Own attempts at a host, with those given up that it cannot be assumed to have stopped. Guards against filling a
     // host with unseen work; harms where a time-out did stop the work (it then stands idle for the memory's length).
-    double busy(const Host& h) const { return h.out - h.stray + h.ghosts.value(now_, ghost_memory_s); }
+    double busy(const Host& h) const { return h.out + h.ghosts.value(now_, ghost_memory_s); }
 
     // Attempts out at a host by all gateways: own ones, those that peers told, and for a silent peer as many as here.
     // The limit is on this sum: limits of each gateway's own would add up with their number and overdrive hosts.
@@ -520,8 +519,6 @@
     }
     void forget(Request& q) {
         give_back(q);
-        if (const auto h = q.stray ? hosts_.find(q.stray_host) : hosts_.end(); h != hosts_.end())
-            h->second.stray = std::max(0, h->second.stray - 1);
         --q.customer->requests;
         requests_.erase(q.ask.id);
     }
@@ -529,7 +526,7 @@
 
     // ---- outcomes and health ----------------------------------------------------------------------------
 
-    void judge(Host& h, const AttemptEnded& a, double aim_s, bool stray) {
+    void judge(Host& h, const AttemptEnded& a, double aim_s) {
         const bool good = a.outcome == Outcome::good;
         const double took = seconds(a.took);
         if (good || a.outcome == Outcome::error) h.last_answer = now_;
@@ -539,7 +536,6 @@
                                         : (answer_s_ > 0 ? 0.8 * answer_s_ + 0.2 * took : took);
             answer_s_ = answer_s_ > 0 ? answer_s_ + answer_weight * (took - answer_s_) : took;
         }
-        if (stray && !good) return;
         const bool bad = a.outcome == Outcome::full || a.outcome == Outcome::timeout;
         if (bad || (good && took > limit_slow_part * aim_s)) {
             if (now_ - h.last_cut >= limit_pause) h.out_limit = std::max(limit_least, h.out_limit * limit_cut), h.last_cut = now_;
@@ -568,13 +564,8 @@
         const auto found = requests_.find(a.id);
         if (host != hosts_.end()) {
             host->second.out = std::max(0, host->second.out - 1);
-            const bool stray = found != requests_.end() && found->second.stray && found->second.stray_host == a.host;
-            if (stray) {
-                found->second.stray = false;
-                host->second.stray = std::max(0, host->second.stray - 1);
-            }
             const double aim = found == requests_.end() ? aim_s() : seconds(s_.classes[found->second.ask.request_class].aim);
-            judge(host->second, a, aim, stray);
+            judge(host->second, a, aim);
             if (a.outcome == Outcome::good || a.outcome == Outcome::timeout)
                 by_units_.add(found == requests_.end() ? mean_units_ : found->second.ask.units, seconds(a.took));
         }
@@ -625,18 +616,8 @@
         Host& h = it->second;
         const double quiet = seconds(now_ - std::max(h.last_answer, q.last_sent));
         const double missing = h.out * quiet / std::max(h.answer_s > 0 ? h.answer_s : answer_s_, 1e-3);
-        if (h.last_answer > q.last_sent) {
-            // The host answers others: what is missing is this request's own, lost or refused unseen. Its place is
-            // free, the host is not blamed. Guards against losses of one plan, class or customer; harms where one
-            // costly request is taken for lost (a copy of it runs).
-            if (q.stray || q.out > 1 || seconds(now_ - q.last_sent) < silent_answers * h.answer_s) return;
-            q.stray = true;
-            q.stray_host = q.last_host;
-            ++h.stray;
-        } else {
-            if (missing < silent_answers || quiet < check_earliest * aim_s()) return;
-            fail(h, eject_after);
-        }
+        if (missing < silent_answers || quiet < check_earliest * aim_s()) return;
+        fail(h, eject_after);
         if (s_.classes[q.ask.request_class].effect != Effect::safe || q.attempts >= s_.max_attempts ||
             now_ >= q.latest_start)
             return;
