--- a/src/control.cpp
+++ b/src/control.cpp
@@ -536,20 +536,24 @@
                                         : (answer_s_ > 0 ? 0.8 * answer_s_ + 0.2 * took : took);
             answer_s_ = answer_s_ > 0 ? answer_s_ + answer_weight * (took - answer_s_) : took;
         }
-        const bool bad = a.outcome == Outcome::full || a.outcome == Outcome::timeout;
+        // A time-out tells only that the answer takes longer than the client had: it counts as slow or bad by its
+        // length, and as the host's failure only if the host was silent all along. Guards against clients of little
+        // patience and costly requests putting good hosts out; harms where a host fails some requests by silence.
+        const bool late = a.outcome == Outcome::timeout, silent = late && h.last_answer + a.took < now_;
+        const bool bad = a.outcome == Outcome::full || (late && took > limit_slow_part * aim_s);
         if (bad || (good && took > limit_slow_part * aim_s)) {
             if (now_ - h.last_cut >= limit_pause) h.out_limit = std::max(limit_least, h.out_limit * limit_cut), h.last_cut = now_;
         } else if (good && load(h) + 2 > h.out_limit) {
             h.out_limit = std::min(limit_most, h.out_limit + std::min(1.0, s_.instances / h.out_limit));
         }
-        if (good || bad) {
-            slow_share_ += slow_weight * ((bad || took > slow_part * aim_s) - slow_share_);
+        if (good || late || bad) {
+            slow_share_ += slow_weight * ((a.outcome == Outcome::full || took > slow_part * aim_s) - slow_share_);
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
         if (a.outcome == Outcome::timeout || a.outcome == Outcome::cancelled) h.ghosts.add(1, now_, ghost_memory_s);
         if (a.outcome == Outcome::full) h.blocked_until = std::max(h.blocked_until, now_ + full_pause);
         // Outlier ejection: answers any run of failures, fast or slow. Harms if all hosts fail for one client's sake.
-        if (a.outcome == Outcome::error || a.outcome == Outcome::timeout) fail(h, 1);
+        if (a.outcome == Outcome::error || silent) fail(h, 1);
         if (a.outcome == Outcome::connect_failed || a.outcome == Outcome::reset) fail(h, eject_after);
     }
     void fail(Host& h, int weight) {
