--- a/src/control.cpp
+++ b/src/control.cpp
@@ -39,6 +39,7 @@
 constexpr double limit_start = 3;             // attempts out at one host, by all gateways, before anything is known
 constexpr double limit_least = 2;             // by all gateways; fewer would leave most hosts' cores idle
 constexpr double limit_most = 128;            // more in flight at one host never helps
+constexpr double limit_growth = 2;            // added over the limit for each good answer near it, however many gateways
 constexpr double limit_cut = 0.9;             // cut on an answer near its aim, timeout or full
 constexpr double limit_slow_part = 0.25;      // answer time as part of the aim that cuts the limit
 constexpr double ghost_memory_s = 1;          // a timed-out attempt goes on filling its place at the host about this long
@@ -544,7 +545,7 @@
         if (bad || (good && took > limit_slow_part * aim_s)) {
             if (now_ - h.last_cut >= limit_pause) h.out_limit = std::max(limit_least, h.out_limit * limit_cut), h.last_cut = now_;
         } else if (good && load(h) + 2 > h.out_limit) {
-            h.out_limit = std::min(limit_most, h.out_limit + std::min(1.0, s_.instances / h.out_limit));
+            h.out_limit = std::min(limit_most, h.out_limit + limit_growth / h.out_limit);
         }
         if (good || late || bad) {
             slow_share_ += slow_weight * ((a.outcome == Outcome::full || took > slow_part * aim_s) - slow_share_);
