--- a/src/control.cpp
+++ b/src/control.cpp
@@ -541,16 +541,14 @@
         // length, and as the host's failure only if the host was silent all along. Guards against clients of little
         // patience and costly requests putting good hosts out; harms where a host fails some requests by silence.
         const bool late = a.outcome == Outcome::timeout, silent = late && h.last_answer + a.took < now_;
-        // Full from a host that answers fast is about the request, not the host: its limit and the pressure stay.
-        const bool full = a.outcome == Outcome::full && h.answer_s > limit_slow_part * aim_s;
-        const bool bad = full || (late && took > limit_slow_part * aim_s);
+        const bool bad = a.outcome == Outcome::full || (late && took > limit_slow_part * aim_s);
         if (bad || (good && took > limit_slow_part * aim_s)) {
             if (now_ - h.last_cut >= limit_pause) h.out_limit = std::max(limit_least, h.out_limit * limit_cut), h.last_cut = now_;
         } else if (good && load(h) + 2 > h.out_limit) {
             h.out_limit = std::min(limit_most, h.out_limit + limit_growth / h.out_limit);
         }
         if (good || late || bad) {
-            slow_share_ += slow_weight * ((full || took > slow_part * aim_s) - slow_share_);
+            slow_share_ += slow_weight * ((a.outcome == Outcome::full || took > slow_part * aim_s) - slow_share_);
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
         if (a.outcome == Outcome::timeout || a.outcome == Outcome::cancelled) h.ghosts.add(1, now_, ghost_memory_s);
