--- a/src/control.cpp
+++ b/src/control.cpp
@@ -34,6 +34,7 @@
 constexpr double relieved_below = 0.20;       // and at which it no longer does
 constexpr double room_below = 0.08;           // slow share under which there is room for more than quotas
 constexpr double answer_weight = 0.05;        // weight of one answer in a host's and the fleet's answer time
+constexpr double waiting_for_each_host = 0.5;  // requests that may wait here, for each host listed
 constexpr double margin_answers = 1.3;        // time kept for the answer when held, in mean answer times
 constexpr double margin_most = 0.8;           // and at most this part of the aim
 constexpr double limit_start = 3;             // attempts out at one host, by all gateways, before anything is known
@@ -492,6 +493,17 @@
         q.waiting = true;
         waiting_.push_back(q.ask.id);
         timer(q.latest_start - now_, q.ask.id, expiry_timer);
+        shorten_line();
+    }
+
+    // Of more that wait than hosts could soon take, the oldest is answered now, so that its client can come again in
+    // time. Guards against a line that only ages; harms if many places come free at once.
+    void shorten_line() {
+        const auto most = static_cast<std::size_t>(waiting_for_each_host * static_cast<double>(hosts_.size())) + 1;
+        if (waiting_.size() <= most) return;
+        const auto it = requests_.find(waiting_.front());
+        waiting_.pop_front();
+        if (it != requests_.end() && it->second.waiting) finish(it->second);
     }
 
     // Lets waiting requests go while hosts have room, newest first: in overload a queue served in order makes every
