--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -423,3 +423,30 @@
     EXPECT_TRUE(b.feed(TimerFired{~0ull}).empty());
     EXPECT_TRUE(b.feed(ProbeEnded{}).empty());
 }
+
+TEST(Events, LateAndRepeatedOnesChangeNothing) {
+    Bench b(one_gateway());
+    const auto sent = of<SendAttempt>(b.ask(1));
+    ASSERT_EQ(sent.size(), 1u);
+    const auto timers = b.timers;
+    b.end(1, sent[0].host, Outcome::good, 20ms);
+    EXPECT_TRUE(b.end(1, sent[0].host, Outcome::timeout, 2s).empty());
+    for (const auto& [at, token] : timers) {
+        for (const Action& a : b.feed(TimerFired{token}))
+            EXPECT_TRUE(std::holds_alternative<SetTimer>(a) || std::holds_alternative<SendMessage>(a));
+    }
+    EXPECT_TRUE(b.ask(2, 1, 0us).size() == 1 && of<Refuse>(b.actions).size() == 1);  // no time left: answered at once
+}
+
+TEST(Settings, ZeroFiguresWork) {
+    Settings s;
+    s.classes = {{"read", Effect::safe, RepeatScope::all, 800ms, 2s, 0us, 0, 0}};
+    s.plans = {{"none", 0, 0, 0, 0, 0, 0, 0, 0}, {"no burst", 1, 0, 0, 1, 0, 1, 0, 0}};
+    Bench b(s);
+    EXPECT_EQ(of<SendAttempt>(b.ask(1, 1, 2s, 0, 0, "x")).size(), 1u);
+    EXPECT_EQ(of<SendAttempt>(b.ask(2, 0, 2s, 1, 0, "y")).size(), 1u);
+    b.ask(3, 5, 2s, 1, 0, "y");
+    b.ask(4, 1, 2s, 0, 0, "x", 0);
+    b.pass(3s);
+    EXPECT_EQ(of<Refuse>(b.actions).size() + of<Fail>(b.actions).size(), 4u);
+}
