--- a/include/silverreach/interface.h
+++ b/include/silverreach/interface.h
@@ -19,8 +19,8 @@
 
 // ---- settings, given once at start ----------------------------------------------------------------------
 
-enum class Effect { safe, keyed, unsafe };     // what a second run of a request would do
-enum class RepeatScope { all, zone, cell };    // the hosts among which a keyed repeat is dropped
+enum class Effect { safe, keyed, unsafe };   // what a second run of a request would do
+enum class RepeatScope { all, zone, cell };  // the hosts among which a keyed repeat is dropped
 enum class LoadReports { none, in_answers, on_probe };
 
 struct RequestClass {
@@ -115,7 +115,7 @@
     std::string host;
     Outcome outcome = Outcome::good;
     Micros took{0};
-    bool settled = false;  // the request has its final answer
+    bool settled = false;   // the request has its final answer
     double true_units = 0;  // 0: not told
     LoadReport report;
 };
@@ -169,8 +169,7 @@
     std::string bytes;
 };
 
-using Action =
-    std::variant<SendAttempt, Refuse, Fail, CancelAttempt, ProbeHost, SetTimer, SendMessage>;
+using Action = std::variant<SendAttempt, Refuse, Fail, CancelAttempt, ProbeHost, SetTimer, SendMessage>;
 
 // ---- the module -----------------------------------------------------------------------------------------
 
--- a/src/benchlink/link.cpp
+++ b/src/benchlink/link.cpp
@@ -98,10 +98,14 @@
     RequestClass c;
     c.name = as_text(required(o, "name"), "name");
     const std::string_view effect = as_text(required(o, "effect"), "effect");
-    if (effect == "retryable") c.effect = Effect::safe;
-    else if (effect == "dedup") c.effect = Effect::keyed;
-    else if (effect == "fragile") c.effect = Effect::unsafe;
-    else bad("effect", "retryable, dedup or fragile");
+    if (effect == "retryable")
+        c.effect = Effect::safe;
+    else if (effect == "dedup")
+        c.effect = Effect::keyed;
+    else if (effect == "fragile")
+        c.effect = Effect::unsafe;
+    else
+        bad("effect", "retryable, dedup or fragile");
     if (auto scope = optional_key(o, "dedupScope")) {
         const std::string_view name = as_text(*scope, "dedupScope");
         c.repeat_scope = name == "all"    ? RepeatScope::all
@@ -172,14 +176,15 @@
 }
 
 Outcome read_outcome(std::string_view status) {
-    static constexpr std::array<std::pair<std::string_view, Outcome>, 8> names{{{"GOOD", Outcome::good},
-                                                                                {"BAD", Outcome::error},
-                                                                                {"FULL", Outcome::full},
-                                                                                {"LATE", Outcome::timeout},
-                                                                                {"NOCONN", Outcome::connect_failed},
-                                                                                {"RST", Outcome::reset},
-                                                                                {"CXL", Outcome::cancelled},
-                                                                                {"NOP", Outcome::moot}}};
+    static constexpr std::array<std::pair<std::string_view, Outcome>, 8> names{
+        {{"GOOD", Outcome::good},
+         {"BAD", Outcome::error},
+         {"FULL", Outcome::full},
+         {"LATE", Outcome::timeout},
+         {"NOCONN", Outcome::connect_failed},
+         {"RST", Outcome::reset},
+         {"CXL", Outcome::cancelled},
+         {"NOP", Outcome::moot}}};
     for (const auto& [name, outcome] : names)
         if (name == status) return outcome;
     bad("status", "GOOD, BAD, FULL, LATE, NOCONN, RST, CXL or NOP");
@@ -321,7 +326,8 @@
 
 void Link::State::directory(const Fields& f) {
     const std::int64_t slot = as_integer(f.get(0, "slot"), "slot");
-    if (slot < 0 || slot >= static_cast<std::int64_t>(lists.size())) bad("slot", "a list number from 0 to 15");
+    if (slot < 0 || slot >= static_cast<std::int64_t>(lists.size()))
+        bad("slot", "a list number from 0 to 15");
     std::vector<HostEntry> entries;
     for (element e : as_array(f.get(1, "records"), "records")) {
         Fields row;
@@ -333,10 +339,14 @@
         if (row.present(2)) entry.kind = as_text(row.at[2], "hw");
         if (row.present(3)) entry.cell = as_integer(row.at[3], "pack");
         const std::string_view health = as_text(row.get(4, "health"), "health");
-        if (health == "U") entry.state = HostState::up;
-        else if (health == "L") entry.state = HostState::draining;
-        else if (health == "D") entry.state = HostState::gone;
-        else bad("health", "U, L or D");
+        if (health == "U")
+            entry.state = HostState::up;
+        else if (health == "L")
+            entry.state = HostState::draining;
+        else if (health == "D")
+            entry.state = HostState::gone;
+        else
+            bad("health", "U, L or D");
         if (row.present(5)) entry.weight = as_number(row.at[5], "weight");
         if (row.present(6)) entry.started = Micros(as_integer(row.at[6], "bootTimeUs"));
         entries.push_back(std::move(entry));
@@ -360,10 +370,12 @@
         const std::string_view how = as_text(f.get(1, "kind"), "kind");
         if (how == "unavailable") return;
         const std::int64_t slot = as_integer(f.get(3, "slot"), "slot");
-        if (slot < 0 || slot >= static_cast<std::int64_t>(lists.size()) || !lists[static_cast<std::size_t>(slot)])
+        if (slot < 0 || slot >= static_cast<std::int64_t>(lists.size()) ||
+            !lists[static_cast<std::size_t>(slot)])
             bad("slot", "the number of a list that a Directory declared");
         if (found == instances.end()) return;
-        return feed(number, found->second, HostsChanged{how != "update", *lists[static_cast<std::size_t>(slot)]});
+        return feed(number, found->second,
+                    HostsChanged{how != "update", *lists[static_cast<std::size_t>(slot)]});
     }
     if (found == instances.end()) return;
     Instance& instance = found->second;
@@ -398,8 +410,11 @@
             a.report = read_report(f, 9);
             return feed(number, instance, a);
         }
-        case Kind::destroy: instances.erase(found); return;
-        case Kind::gone: return feed(number, instance, ClientLeft{as_unsigned(f.get(1, "xid"), "xid")});
+        case Kind::destroy:
+            instances.erase(found);
+            return;
+        case Kind::gone:
+            return feed(number, instance, ClientLeft{as_unsigned(f.get(1, "xid"), "xid")});
         case Kind::peer: {
             const auto bytes = from_base64(as_text(f.get(2, "bytes"), "bytes"));
             if (!bytes) bad("bytes", "padded base64");
@@ -421,7 +436,8 @@
             if (read_to.ec != std::errc() || read_to.ptr != label.data() + label.size()) return;  // not ours
             return feed(number, instance, TimerFired{token});
         }
-        case Kind::sync: return;
+        case Kind::sync:
+            return;
     }
 }
 
@@ -468,8 +484,10 @@
         }
         void operator()(const SendMessage& a) const {
             s.open("WritePeer", number);
-            if (a.to < 0) s.put(std::string_view("*"));
-            else s.put(static_cast<std::uint64_t>(a.to));
+            if (a.to < 0)
+                s.put(std::string_view("*"));
+            else
+                s.put(static_cast<std::uint64_t>(a.to));
             s.reply.append(",\"");
             append_base64(s.reply, a.bytes);
             s.reply.push_back('"');
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -16,61 +16,76 @@
 using Actions = std::vector<Action>;
 
 // ---- tuned constants, each with its unit and reason ------------------------------------------------------
-constexpr double cold_factor = 3;             // SmoothWarmingUp's coldInterval / stableInterval, by the design
-constexpr double use_memory_s = 2;            // memory of recent use; shares follow busiest-gateway shifts of seconds
-constexpr double even_prior_s = 0.25;         // seconds of quota at even split blended into every share
-constexpr double debt_most = 0.25;            // told use may push a store this part of its burst below empty
-constexpr Micros silence_starts = 1s;         // a peer is told several times a second; this is many losses in a row
-constexpr Micros silence_full = 3s;           // by then the share is the even split
-constexpr Micros news_period = 125ms;         // pace of messages: far below spike lengths, cheap in bytes
-constexpr double mail_share = 0.9;            // part of a peer's intake that news may fill
-constexpr int news_repeats = 2;               // messages that carry one change, against loss
-constexpr Micros idle_after = 60s;            // idle customers age out; their stores are full long before
-constexpr double stranger_most = 50;          // units that one word on a customer not seen here may count
-constexpr Micros sweep_period = 5s;           // how often ageing runs
-constexpr double slow_part = 0.5;             // an answer slower than this part of its aim counts as slow
-constexpr double slow_weight = 0.04;          // weight of one answer in the slow share
-constexpr double pressed_above = 0.25;        // slow or full share at which the back end looks pressed
-constexpr double relieved_below = 0.20;       // and at which it no longer does
-constexpr double room_below = 0.08;           // slow share under which there is room for more than quotas
-constexpr double answer_weight = 0.05;        // weight of one answer in a host's and the fleet's answer time
+constexpr double cold_factor = 3;   // SmoothWarmingUp's coldInterval / stableInterval, by the design
+constexpr double use_memory_s = 2;  // memory of recent use; shares follow busiest-gateway shifts of seconds
+constexpr double even_prior_s = 0.25;   // seconds of quota at even split blended into every share
+constexpr double debt_most = 0.25;      // told use may push a store this part of its burst below empty
+constexpr Micros silence_starts = 1s;   // a peer is told several times a second; this is many losses in a row
+constexpr Micros silence_full = 3s;     // by then the share is the even split
+constexpr Micros news_period = 125ms;   // pace of messages: far below spike lengths, cheap in bytes
+constexpr double mail_share = 0.9;      // part of a peer's intake that news may fill
+constexpr int news_repeats = 2;         // messages that carry one change, against loss
+constexpr Micros idle_after = 60s;      // idle customers age out; their stores are full long before
+constexpr double stranger_most = 50;    // units that one word on a customer not seen here may count
+constexpr Micros sweep_period = 5s;     // how often ageing runs
+constexpr double slow_part = 0.5;       // an answer slower than this part of its aim counts as slow
+constexpr double slow_weight = 0.04;    // weight of one answer in the slow share
+constexpr double pressed_above = 0.25;  // slow or full share at which the back end looks pressed
+constexpr double relieved_below = 0.20;        // and at which it no longer does
+constexpr double room_below = 0.08;            // slow share under which there is room for more than quotas
+constexpr double answer_weight = 0.05;         // weight of one answer in a host's and the fleet's answer time
 constexpr double waiting_for_each_host = 0.5;  // requests that may wait here, for each host listed
-constexpr double margin_answers = 1.3;        // time kept for the answer when held, in mean answer times
-constexpr double margin_most = 0.8;           // and at most this part of the aim
-constexpr double limit_start = 3;             // attempts out at one host, by all gateways, before anything is known
-constexpr double limit_least = 2;             // by all gateways; fewer would leave most hosts' cores idle
-constexpr double limit_most = 128;            // more in flight at one host never helps
-constexpr double limit_growth = 1;            // added over the limit for each good answer near it, however many gateways
-constexpr double limit_cut = 0.9;             // cut on an answer near its aim, timeout or full
-constexpr double limit_slow_part = 0.25;      // answer time as part of the aim that cuts the limit
-constexpr double ghost_memory_s = 1;          // a timed-out attempt goes on filling its place at the host about this long
-constexpr Micros limit_pause = 100ms;         // one cut for one cause
-constexpr double silent_answers = 3.5;        // expected answers missing when silence is evidence (e^-3.5 = 3%)
-constexpr double check_earliest = 0.25;       // silence is looked for between these parts of the aim
+constexpr double margin_answers = 1.3;         // time kept for the answer when held, in mean answer times
+constexpr double margin_most = 0.8;            // and at most this part of the aim
+constexpr double limit_start = 3;   // attempts out at one host, by all gateways, before anything is known
+constexpr double limit_least = 2;   // by all gateways; fewer would leave most hosts' cores idle
+constexpr double limit_most = 128;  // more in flight at one host never helps
+constexpr double limit_growth =
+    1;                             // added over the limit for each good answer near it, however many gateways
+constexpr double limit_cut = 0.9;  // cut on an answer near its aim, timeout or full
+constexpr double limit_slow_part = 0.25;  // answer time as part of the aim that cuts the limit
+constexpr double ghost_memory_s =
+    1;  // a timed-out attempt goes on filling its place at the host about this long
+constexpr Micros limit_pause = 100ms;    // one cut for one cause
+constexpr double silent_answers = 3.5;   // expected answers missing when silence is evidence (e^-3.5 = 3%)
+constexpr double check_earliest = 0.25;  // silence is looked for between these parts of the aim
 constexpr double check_latest = 0.55;
-constexpr int eject_after = 3;                // failures in a row that eject a host
-constexpr Micros eject_first = 500ms;         // first ejection, doubled with each further one
+constexpr int eject_after = 3;         // failures in a row that eject a host
+constexpr Micros eject_first = 500ms;  // first ejection, doubled with each further one
 constexpr Micros eject_most = 8s;
-constexpr Micros full_pause = 60ms;           // a full host is left alone this long
-constexpr double retry_share = 0.15;          // further attempts earned by each first one
-constexpr double retry_floor = 5;             // further attempts always allowed in that memory
-constexpr double retry_memory_s = 10;         // memory of first and further attempts
-constexpr double cold_caution = 0.8;          // part of the even share, scaled to its capacity, a cold host may get
-constexpr double cold_at_once = 1.5;          // mean requests a cold host may get in one go
-constexpr double warm_memory_s = 5;           // memory of the rate that warm hosts carry
-constexpr Micros told_out_valid = 600ms;      // a peer's word on its attempts out is forgotten after this
-
-enum TimerKind : std::uint64_t { deadline_timer, release_timer, check_timer, expiry_timer, news_timer, sweep_timer };
+constexpr Micros full_pause = 60ms;    // a full host is left alone this long
+constexpr double retry_share = 0.15;   // further attempts earned by each first one
+constexpr double retry_floor = 5;      // further attempts always allowed in that memory
+constexpr double retry_memory_s = 10;  // memory of first and further attempts
+constexpr double cold_caution = 0.8;   // part of the even share, scaled to its capacity, a cold host may get
+constexpr double cold_at_once = 1.5;   // mean requests a cold host may get in one go
+constexpr double warm_memory_s = 5;    // memory of the rate that warm hosts carry
+constexpr Micros told_out_valid = 600ms;  // a peer's word on its attempts out is forgotten after this
+
+enum TimerKind : std::uint64_t {
+    deadline_timer,
+    release_timer,
+    check_timer,
+    expiry_timer,
+    news_timer,
+    sweep_timer
+};
 constexpr std::uint64_t timer_kinds = 8;
 
-double seconds(Micros t) { return static_cast<double>(t.count()) / 1e6; }
-Micros micros(double s) { return Micros(static_cast<std::int64_t>(std::clamp(s, 0.0, 4e3) * 1e6)); }
+double seconds(Micros t) {
+    return static_cast<double>(t.count()) / 1e6;
+}
+Micros micros(double s) {
+    return Micros(static_cast<std::int64_t>(std::clamp(s, 0.0, 4e3) * 1e6));
+}
 
 // An amount that fades with a fixed memory; over that memory it reads as a rate.
 struct Fading {
     double amount = 0;
     Micros at{0};
-    double value(Micros now, double memory_s) const { return amount * std::exp(-seconds(now - at) / memory_s); }
+    double value(Micros now, double memory_s) const {
+        return amount * std::exp(-seconds(now - at) / memory_s);
+    }
     void add(double x, Micros now, double memory_s) {
         amount = value(now, memory_s) + x;
         at = now;
@@ -131,11 +146,11 @@
     std::uint32_t hash = 0;
     int plan = -1, set_size = 1, set_start = 0;
     Micros touched{0}, last_use{0};
-    double level = 0;      // plain store: units of the quota this gateway may still send on
-    double withheld = 0;   // refill kept back for the other gateways until they tell their use
+    double level = 0;     // plain store: units of the quota this gateway may still send on
+    double withheld = 0;  // refill kept back for the other gateways until they tell their use
     Micros withheld_since{0};
-    Fading own;            // recent use here
-    ToldUse told;          // and elsewhere
+    Fading own;               // recent use here
+    ToldUse told;             // and elsewhere
     std::uint32_t total = 0;  // sixteenths of units sent on inside the quota, as told to peers
     int tell = 0;             // messages that still have to carry it
     double hard_level = 0, hard_reserved = 0;  // this gateway's own part of the ceiling
@@ -196,7 +211,8 @@
 
 class Gateway::Impl {
   public:
-    Impl(Settings settings, std::uint64_t seed, Micros now) : s_(std::move(settings)), random_(seed), boot_(now) {
+    Impl(Settings settings, std::uint64_t seed, Micros now)
+        : s_(std::move(settings)), random_(seed), boot_(now) {
         if (s_.instances < 1 || s_.rank < 0 || s_.rank >= s_.instances)
             throw std::invalid_argument("settings: rank must lie within instances");
         if (s_.max_attempts < 1) throw std::invalid_argument("settings: max_attempts must be 1 at least");
@@ -233,11 +249,12 @@
     }
 
     double silence(Micros oldest) const {
-        return std::clamp(seconds(now_ - oldest - silence_starts) / seconds(silence_full - silence_starts), 0.0, 1.0);
+        return std::clamp(seconds(now_ - oldest - silence_starts) / seconds(silence_full - silence_starts),
+                          0.0, 1.0);
     }
 
-    // This gateway's slice of the quota: its part of the recent use as others tell, blended with the even split;
-    // silence of a peer moves it to the even split.
+    // This gateway's slice of the quota: its part of the recent use as others tell, blended with the even
+    // split; silence of a peer moves it to the even split.
     double share(const Customer& c, const Plan& p, double silent) const {
         const double n = c.set_size;
         const double prior = even_prior_s * p.rate;
@@ -246,10 +263,11 @@
         return (1 - silent) * part + silent / n;
     }
 
-    // Brings the stores up to now. The plain store refills at the slice; the rest of the quota is withheld for the
-    // other gateways and released once all of them have been heard, less what they told (on_news debits it).
-    // Extends the design where shares move faster than a slice's store can follow. Guards against skew, shifts and
-    // spikes; should hold against any unevenness; harms when peers lie low but spend (bounded by one burst each).
+    // Brings the stores up to now. The plain store refills at the slice; the rest of the quota is withheld
+    // for the other gateways and released once all of them have been heard, less what they told (on_news
+    // debits it). Extends the design where shares move faster than a slice's store can follow. Guards against
+    // skew, shifts and spikes; should hold against any unevenness; harms when peers lie low but spend
+    // (bounded by one burst each).
     void touch(Customer& c) {
         const Plan* p = plan_of(c);
         const double dt = seconds(now_ - c.touched);
@@ -285,21 +303,23 @@
             c.set_size = set;
             c.touched = c.withheld_since = boot_;
             by_hash_[c.hash] = &c;
-            // Stores count from the start of this instance: the plain one from the even slice of the burst, the ceiling's
-            // part from nothing, for a former life may have spent it all.
+            // Stores count from the start of this instance: the plain one from the even slice of the burst,
+            // the ceiling's part from nothing, for a former life may have spent it all.
             if (const Plan* p = plan_of(c)) c.level = p->burst / set;
         }
         c.set_start = r.set_start % s_.instances;
         c.set_size = std::max(c.set_size, set);
         c.last_use = now_;
         touch(c);
-        // New here but known to peers: what they told of it has thinned the store in the part that their use is of
-        // the quota. Guards against a full store at every gateway a heavy customer comes to.
-        if (const auto known = fresh ? strangers_.find(c.hash) : strangers_.end(); known != strangers_.end()) {
+        // New here but known to peers: what they told of it has thinned the store in the part that their use
+        // is of the quota. Guards against a full store at every gateway a heavy customer comes to.
+        if (const auto known = fresh ? strangers_.find(c.hash) : strangers_.end();
+            known != strangers_.end()) {
             c.told = std::move(known->second);
             strangers_.erase(known);
             if (const Plan* p = plan_of(c); p && p->rate > 0)
-                c.level *= std::max(0.0, 1 - c.told.recent.value(now_, use_memory_s) / (use_memory_s * p->rate));
+                c.level *=
+                    std::max(0.0, 1 - c.told.recent.value(now_, use_memory_s) / (use_memory_s * p->rate));
         }
         return c;
     }
@@ -324,7 +344,8 @@
         q.arrived = now_;
         q.deadline = now_ + r.time_left;
         const double left = useful_left(r);
-        q.latest_start = now_ + micros(left - std::clamp(margin_answers * by_units_.expected(r.units), 0.0, margin_most * left));
+        q.latest_start = now_ + micros(left - std::clamp(margin_answers * by_units_.expected(r.units), 0.0,
+                                                         margin_most * left));
         const double k = q.ask.units;
         Micros wait{0};
         if (const Plan* p = plan_of(c)) {
@@ -388,21 +409,26 @@
         return age >= 1 ? 1 : s_.start_capacity + (1 - s_.start_capacity) * std::max(0.0, age);
     }
 
-    // A cold host gets its own small budget: the even share of what warm hosts get from here, scaled to the capacity
-    // it is sure to have. Each instance keeps to its part, so together they stay below the multiple that fells it.
-    // Guards against herds on restarted hosts; holds for probes and retries too; harms if most of the fleet is cold.
+    // A cold host gets its own small budget: the even share of what warm hosts get from here, scaled to the
+    // capacity it is sure to have. Each instance keeps to its part, so together they stay below the multiple
+    // that fells it. Guards against herds on restarted hosts; holds for probes and retries too; harms if most
+    // of the fleet is cold.
     void refill_cold(Host& h) {
-        const double rate = cold_caution * std::min(1.0, s_.fall_multiple / 2) * capacity_share(h) * warm_rate_;
-        h.cold_tokens = std::min(cold_at_once * mean_units_, h.cold_tokens + rate * seconds(now_ - h.cold_at));
+        const double rate =
+            cold_caution * std::min(1.0, s_.fall_multiple / 2) * capacity_share(h) * warm_rate_;
+        h.cold_tokens =
+            std::min(cold_at_once * mean_units_, h.cold_tokens + rate * seconds(now_ - h.cold_at));
         h.cold_at = now_;
     }
 
-    // Own attempts at a host, with those given up that it cannot be assumed to have stopped. Guards against filling a
-    // host with unseen work; harms where a time-out did stop the work (it then stands idle for the memory's length).
+    // Own attempts at a host, with those given up that it cannot be assumed to have stopped. Guards against
+    // filling a host with unseen work; harms where a time-out did stop the work (it then stands idle for the
+    // memory's length).
     double busy(const Host& h) const { return h.out + h.ghosts.value(now_, ghost_memory_s); }
 
-    // Attempts out at a host by all gateways: own ones, those that peers told, and for a silent peer as many as here.
-    // The limit is on this sum: limits of each gateway's own would add up with their number and overdrive hosts.
+    // Attempts out at a host by all gateways: own ones, those that peers told, and for a silent peer as many
+    // as here. The limit is on this sum: limits of each gateway's own would add up with their number and
+    // overdrive hosts.
     double load(const Host& h) const {
         double told = 0;
         int silent = s_.instances - 1;
@@ -417,7 +443,8 @@
         if (k.effect == Effect::safe) return true;
         if (k.effect == Effect::unsafe || now_ - q.first_maybe >= k.repeat_window) return false;
         if (k.repeat_scope == RepeatScope::all) return true;
-        return k.repeat_scope == RepeatScope::zone ? h.entry.zone == q.group_zone : h.entry.cell == q.group_cell;
+        return k.repeat_scope == RepeatScope::zone ? h.entry.zone == q.group_zone
+                                                   : h.entry.cell == q.group_cell;
     }
 
     Host* pick(const Request& q) {
@@ -466,8 +493,8 @@
         note_sent(*h, q.ask.units);
         actions_->push_back(SendAttempt{q.ask.id, h->entry.host, std::max(q.deadline - now_, 1us)});
         const double aim = seconds(s_.classes[q.ask.request_class].aim);
-        timer(micros(std::clamp(silent_answers * answer_s_, check_earliest * aim, check_latest * aim)), q.ask.id,
-              check_timer);
+        timer(micros(std::clamp(silent_answers * answer_s_, check_earliest * aim, check_latest * aim)),
+              q.ask.id, check_timer);
         return true;
     }
 
@@ -496,19 +523,20 @@
         shorten_line();
     }
 
-    // Of more that wait than hosts could soon take, the oldest is answered now, so that its client can come again in
-    // time. Guards against a line that only ages; harms if many places come free at once.
+    // Of more that wait than hosts could soon take, the oldest is answered now, so that its client can come
+    // again in time. Guards against a line that only ages; harms if many places come free at once.
     void shorten_line() {
-        const auto most = static_cast<std::size_t>(waiting_for_each_host * static_cast<double>(hosts_.size())) + 1;
+        const auto most =
+            static_cast<std::size_t>(waiting_for_each_host * static_cast<double>(hosts_.size())) + 1;
         if (waiting_.size() <= most) return;
         const auto it = requests_.find(waiting_.front());
         waiting_.pop_front();
         if (it != requests_.end() && it->second.waiting) finish(it->second);
     }
 
-    // Lets waiting requests go while hosts have room, newest first: in overload a queue served in order makes every
-    // request leave at its last moment and finish late; served from its fresh end, those sent can still be in time.
-    // Guards against any lasting shortage of hosts; harms the few that wait in a short one.
+    // Lets waiting requests go while hosts have room, newest first: in overload a queue served in order makes
+    // every request leave at its last moment and finish late; served from its fresh end, those sent can still
+    // be in time. Guards against any lasting shortage of hosts; harms the few that wait in a short one.
     void pump() {
         for (std::size_t i = waiting_.size(); i-- > 0;) {
             const auto it = requests_.find(waiting_[i]);
@@ -526,8 +554,10 @@
         const RequestClass& k = s_.classes[q.ask.request_class];
         const bool harmless = k.effect == Effect::safe || !(q.maybe_ran || q.out > 0) ||
                               (k.effect == Effect::keyed && k.repeat_scope == RepeatScope::all && q.out == 0);
-        if (harmless) actions_->push_back(Refuse{q.ask.id, advice(q.sent ? 0us : answer_time())});
-        else actions_->push_back(Fail{q.ask.id});
+        if (harmless)
+            actions_->push_back(Refuse{q.ask.id, advice(q.sent ? 0us : answer_time())});
+        else
+            actions_->push_back(Fail{q.ask.id});
         forget(q);
     }
     void forget(Request& q) {
@@ -549,23 +579,28 @@
                                         : (answer_s_ > 0 ? 0.8 * answer_s_ + 0.2 * took : took);
             answer_s_ = answer_s_ > 0 ? answer_s_ + answer_weight * (took - answer_s_) : took;
         }
-        // A time-out tells only that the answer takes longer than the client had: it counts as slow or bad by its
-        // length, and as the host's failure only if the host was silent all along. Guards against clients of little
-        // patience and costly requests putting good hosts out; harms where a host fails some requests by silence.
+        // A time-out tells only that the answer takes longer than the client had: it counts as slow or bad by
+        // its length, and as the host's failure only if the host was silent all along. Guards against clients
+        // of little patience and costly requests putting good hosts out; harms where a host fails some
+        // requests by silence.
         const bool late = a.outcome == Outcome::timeout, silent = late && h.last_answer + a.took < now_;
         const bool bad = a.outcome == Outcome::full || (late && took > limit_slow_part * aim_s);
         if (bad || (good && took > limit_slow_part * aim_s)) {
-            if (now_ - h.last_cut >= limit_pause) h.out_limit = std::max(limit_least, h.out_limit * limit_cut), h.last_cut = now_;
+            if (now_ - h.last_cut >= limit_pause)
+                h.out_limit = std::max(limit_least, h.out_limit * limit_cut), h.last_cut = now_;
         } else if (good && load(h) + 2 > h.out_limit) {
             h.out_limit = std::min(limit_most, h.out_limit + limit_growth / h.out_limit);
         }
         if (good || late || bad) {
-            slow_share_ += slow_weight * ((a.outcome == Outcome::full || took > slow_part * aim_s) - slow_share_);
+            slow_share_ +=
+                slow_weight * ((a.outcome == Outcome::full || took > slow_part * aim_s) - slow_share_);
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
-        if (a.outcome == Outcome::timeout || a.outcome == Outcome::cancelled) h.ghosts.add(1, now_, ghost_memory_s);
+        if (a.outcome == Outcome::timeout || a.outcome == Outcome::cancelled)
+            h.ghosts.add(1, now_, ghost_memory_s);
         if (a.outcome == Outcome::full) h.blocked_until = std::max(h.blocked_until, now_ + full_pause);
-        // Outlier ejection: answers any run of failures, fast or slow. Harms if all hosts fail for one client's sake.
+        // Outlier ejection: answers any run of failures, fast or slow. Harms if all hosts fail for one
+        // client's sake.
         if (a.outcome == Outcome::error || silent) fail(h, 1);
         if (a.outcome == Outcome::connect_failed || a.outcome == Outcome::reset) fail(h, eject_after);
     }
@@ -581,19 +616,23 @@
         const auto found = requests_.find(a.id);
         if (host != hosts_.end()) {
             host->second.out = std::max(0, host->second.out - 1);
-            const double aim = found == requests_.end() ? aim_s() : seconds(s_.classes[found->second.ask.request_class].aim);
+            const double aim =
+                found == requests_.end() ? aim_s() : seconds(s_.classes[found->second.ask.request_class].aim);
             judge(host->second, a, aim);
             if (a.outcome == Outcome::good || a.outcome == Outcome::timeout)
-                by_units_.add(found == requests_.end() ? mean_units_ : found->second.ask.units, seconds(a.took));
+                by_units_.add(found == requests_.end() ? mean_units_ : found->second.ask.units,
+                              seconds(a.took));
         }
         if (found != requests_.end()) {
             Request& q = found->second;
             q.out = std::max(0, q.out - 1);
             q.customer->open = std::max(0, q.customer->open - 1);
-            if (a.true_units > 0 && s_.units_settled_later && q.in_quota) q.customer->level += q.ask.units - a.true_units;
+            if (a.true_units > 0 && s_.units_settled_later && q.in_quota)
+                q.customer->level += q.ask.units - a.true_units;
             const bool never_ran = a.outcome == Outcome::full || a.outcome == Outcome::connect_failed ||
                                    a.outcome == Outcome::moot;
-            if (a.settled) forget(q);
+            if (a.settled)
+                forget(q);
             else {
                 if (!never_ran && !q.maybe_ran) {
                     q.maybe_ran = true;
@@ -613,7 +652,8 @@
         const RequestClass& k = s_.classes[q.ask.request_class];
         const bool allowed = !q.maybe_ran || k.effect == Effect::safe ||
                              (k.effect == Effect::keyed && now_ - q.first_maybe < k.repeat_window);
-        if (!allowed || q.attempts >= s_.max_attempts || now_ >= q.latest_start || !take_retry()) return finish(q);
+        if (!allowed || q.attempts >= s_.max_attempts || now_ >= q.latest_start || !take_retry())
+            return finish(q);
         dispatch(q);
     }
     bool take_retry() {
@@ -623,9 +663,9 @@
         return true;
     }
 
-    // Looks whether a host fell silent under an attempt: expected answers missing, whatever the cause. Then a second
-    // copy, or where none may be out a cancel, and the host is ejected. Guards against silent death, cut links and
-    // stalls; harms when a slow request is alone on a host (then the evidence needs longer).
+    // Looks whether a host fell silent under an attempt: expected answers missing, whatever the cause. Then a
+    // second copy, or where none may be out a cancel, and the host is ejected. Guards against silent death,
+    // cut links and stalls; harms when a slow request is alone on a host (then the evidence needs longer).
     void check(Request& q) {
         if (q.out == 0 || q.waiting) return;
         const auto it = hosts_.find(q.last_host);
@@ -666,7 +706,9 @@
             }
             h.entry = entry;
         }
-        std::erase_if(hosts_, [](const auto& h) { return h.second.entry.state == HostState::gone && h.second.out == 0; });
+        std::erase_if(hosts_, [](const auto& h) {
+            return h.second.entry.state == HostState::gone && h.second.out == 0;
+        });
         pump();
     }
 
@@ -757,10 +799,14 @@
         const auto it = requests_.find(t.token / timer_kinds);
         if (it == requests_.end()) return pump();
         Request& q = it->second;
-        if (kind == deadline_timer) finish(q);
-        else if (kind == release_timer && q.held) dispatch(q);
-        else if (kind == expiry_timer && q.waiting && now_ >= q.latest_start) finish(q);
-        else if (kind == check_timer) check(q);
+        if (kind == deadline_timer)
+            finish(q);
+        else if (kind == release_timer && q.held)
+            dispatch(q);
+        else if (kind == expiry_timer && q.waiting && now_ >= q.latest_start)
+            finish(q);
+        else if (kind == check_timer)
+            check(q);
         pump();
     }
 
@@ -773,7 +819,8 @@
                 ++it;
                 continue;
             }
-            if (const auto h = by_hash_.find(c.hash); h != by_hash_.end() && h->second == &c) by_hash_.erase(h);
+            if (const auto h = by_hash_.find(c.hash); h != by_hash_.end() && h->second == &c)
+                by_hash_.erase(h);
             it = customers_.erase(it);
         }
     }
--- a/tests/benchlink_test.cpp
+++ b/tests/benchlink_test.cpp
@@ -1,8 +1,7 @@
-#include "link.h"
-
 #include <gtest/gtest.h>
 
 #include "base64.h"
+#include "link.h"
 
 using namespace silverreach::benchlink;
 
@@ -27,7 +26,9 @@
     }
     return "";
 }
-std::string attach() { return R"(["Attach",0,18446744073709551615,)" + config + "]"; }
+std::string attach() {
+    return R"(["Attach",0,18446744073709551615,)" + config + "]";
+}
 const std::string hosts = R"(["Directory",0,[["h:1","z","k",0,"U",1,null]]])";
 const std::string sync_line = R"(["Sync",0,"restored",1,0])";
 const std::string request = R"(["NewRequest",0,7,1,0,1500000,"key:a",0,"basic","read",1])";
@@ -40,8 +41,9 @@
 
 TEST(Benchlink, SendsARequestAndSkipsWhatItDoesNotKnow) {
     Link link;
-    const std::string out = feed(link, {R"(["Turn",5])", attach(), hosts, sync_line, R"(["Novelty",0,{"x":1}])",
-                                        R"(["TallyBack",0,"x","GOOD",1,2])", request, R"(["EofBatch"])"});
+    const std::string out =
+        feed(link, {R"(["Turn",5])", attach(), hosts, sync_line, R"(["Novelty",0,{"x":1}])",
+                    R"(["TallyBack",0,"x","GOOD",1,2])", request, R"(["EofBatch"])"});
     EXPECT_NE(out.find(R"(["Send",0,7,"h:1",1500000])"), std::string::npos) << out;
     EXPECT_EQ(out.substr(out.size() - 8), "[\"End\"]\n");
 }
@@ -53,15 +55,19 @@
 }
 
 TEST(Benchlink, MalformedInputIsNamedByLine) {
-    EXPECT_NE(error_of({R"(["Turn",5])", "{nonsense"}).find("line 2: malformed line: expected one JSON array"),
-              std::string::npos);
+    EXPECT_NE(
+        error_of({R"(["Turn",5])", "{nonsense"}).find("line 2: malformed line: expected one JSON array"),
+        std::string::npos);
     EXPECT_NE(error_of({R"(["Turn","x"])"}).find("clock: expected a number"), std::string::npos);
-    EXPECT_NE(error_of({R"(["Turn",5])", attach(), R"(["Sync",0,"replace",1,3])"}).find("a list that a Directory declared"),
+    EXPECT_NE(error_of({R"(["Turn",5])", attach(), R"(["Sync",0,"replace",1,3])"})
+                  .find("a list that a Directory declared"),
               std::string::npos);
     EXPECT_NE(error_of({R"(["Turn",5])", R"(["Attach",0,1,{"rank":0}])"}).find("'instances' is missing"),
               std::string::npos);
-    EXPECT_NE(error_of({R"(["Turn",5])", attach(), R"(["NewRequest",0,7])"}).find("line 3"), std::string::npos);
-    EXPECT_NE(error_of({R"(["Turn",5])", attach(), R"(["Returned",0,7,0,"h:1","ODD",1,true])"}).find("status: expected"),
+    EXPECT_NE(error_of({R"(["Turn",5])", attach(), R"(["NewRequest",0,7])"}).find("line 3"),
+              std::string::npos);
+    EXPECT_NE(error_of({R"(["Turn",5])", attach(), R"(["Returned",0,7,0,"h:1","ODD",1,true])"})
+                  .find("status: expected"),
               std::string::npos);
     EXPECT_NE(error_of({R"(["EofBatch"])"}).find("a Turn line first"), std::string::npos);
     EXPECT_NE(error_of({R"(["Turn",5])", R"(["Turn",4])"}).find("does not go back"), std::string::npos);
@@ -77,5 +83,6 @@
     std::string coded;
     append_base64(coded, "hi 7");
     EXPECT_EQ(coded, "aGkgNw==");
-    for (const std::string bent : {"a", "ab=c", "a===", "a-b=", "===="}) EXPECT_FALSE(from_base64(bent)) << bent;
+    for (const std::string bent : {"a", "ab=c", "a===", "a-b=", "===="})
+        EXPECT_FALSE(from_base64(bent)) << bent;
 }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -41,7 +41,8 @@
     Micros now{1'000'000};
     std::vector<Action> actions;
     std::multimap<Micros, std::uint64_t> timers;
-    explicit Bench(const Settings& s, std::vector<HostEntry> hosts = {host("a"), host("b")}, std::uint64_t seed = 1)
+    explicit Bench(const Settings& s, std::vector<HostEntry> hosts = {host("a"), host("b")},
+                   std::uint64_t seed = 1)
         : gateway(s, seed, Micros(1'000'000)) {
         feed(HostsChanged{true, std::move(hosts)});
     }
@@ -70,12 +71,13 @@
     std::vector<Action> ask(RequestId id, double units = 1, Micros left = 2s, int plan = 0, int cls = 0,
                             const std::string& customer = "c", int set = 1) {
         RequestArrived r;
-        r.id = id, r.customer = customer, r.plan = plan, r.request_class = cls, r.units = units, r.time_left = left;
+        r.id = id, r.customer = customer, r.plan = plan, r.request_class = cls, r.units = units,
+        r.time_left = left;
         r.set_size = set;
         return feed(r);
     }
-    std::vector<Action> end(RequestId id, const std::string& at, Outcome outcome, Micros took, int attempt = 0,
-                            bool settled = false) {
+    std::vector<Action> end(RequestId id, const std::string& at, Outcome outcome, Micros took,
+                            int attempt = 0, bool settled = false) {
         AttemptEnded e;
         e.id = id, e.host = at, e.outcome = outcome, e.took = took, e.attempt = attempt;
         e.settled = settled || outcome == Outcome::good;
@@ -120,8 +122,8 @@
     }
 }
 
-// rate 2, burst 4, one gateway: stable interval 0.5 s, warm-up 2 s, threshold 2, most 4 permits, slope 0.5 s a permit.
-// From full: the first permit costs (1.5 + 1.0) / 2 = 1.25 s.
+// rate 2, burst 4, one gateway: stable interval 0.5 s, warm-up 2 s, threshold 2, most 4 permits, slope 0.5 s
+// a permit. From full: the first permit costs (1.5 + 1.0) / 2 = 1.25 s.
 TEST(WarmUp, NextCallerPaysAndOverrunIsRefusedEarly) {
     Bench b(one_gateway());
     press(b);
@@ -134,7 +136,8 @@
     EXPECT_NEAR(again[0].retry_after.count(), 1'250'000, 2);
 }
 
-// Two units across the first part of the slope: 2 x 1.5 - 0.5 x 2 x 2 / 2 = 2 s; a third below the threshold 0.5 s.
+// Two units across the first part of the slope: 2 x 1.5 - 0.5 x 2 x 2 / 2 = 2 s; a third below the threshold
+// 0.5 s.
 TEST(WarmUp, SeveralUnitsAcrossTheThreshold) {
     Bench b(one_gateway());
     press(b);
@@ -146,7 +149,8 @@
 
 TEST(WarmUp, HoldsAndReleasesByTimer) {
     Settings s = one_gateway();
-    s.plans[0].rate = 20, s.plans[0].burst = 40;  // stable 50 ms: the first permit of a full store costs 150 ms or less
+    s.plans[0].rate = 20,
+    s.plans[0].burst = 40;  // stable 50 ms: the first permit of a full store costs 150 ms or less
     Bench b(s);
     press(b);
     EXPECT_EQ(of<SendAttempt>(b.ask(1)).size(), 1u);
@@ -185,7 +189,8 @@
     s.classes[0].repeat_window = 1s;
     s.second_copies = false;
     for (std::uint64_t seed = 0; seed < 20; ++seed) {
-        Bench b(s, {host("a", HostState::up, 1), host("b", HostState::up, 2), host("c", HostState::up, 2)}, seed);
+        Bench b(s, {host("a", HostState::up, 1), host("b", HostState::up, 2), host("c", HostState::up, 2)},
+                seed);
         const auto first = of<SendAttempt>(b.ask(1));
         ASSERT_EQ(first.size(), 1u);
         b.now += 50ms;
@@ -207,7 +212,8 @@
     EXPECT_TRUE(of<SendAttempt>(next).empty());
     EXPECT_EQ(of<Fail>(next).size(), 1u);
     ASSERT_EQ(of<SendAttempt>(b.ask(2)).size(), 1u);
-    EXPECT_EQ(of<SendAttempt>(b.end(2, of<SendAttempt>(b.actions).back().host, Outcome::full, 5ms)).size(), 1u);
+    EXPECT_EQ(of<SendAttempt>(b.end(2, of<SendAttempt>(b.actions).back().host, Outcome::full, 5ms)).size(),
+              1u);
 }
 
 TEST(Ceiling, AFreshInstanceHasNothingOfABurstItMayHaveSpentBefore) {
@@ -221,7 +227,9 @@
 
 namespace {
 // What one gateway tells of its use, as another receives it.
-std::string told(std::uint32_t life, std::uint32_t total) { return pack({life, 0, {{name_hash("c"), total}}, {}}); }
+std::string told(std::uint32_t life, std::uint32_t total) {
+    return pack({life, 0, {{name_hash("c"), total}}, {}});
+}
 Settings one_of_two() {
     Settings s = one_gateway();
     s.instances = 2;
@@ -241,7 +249,8 @@
 }
 }  // namespace
 
-// Found in ia0804f: heavy customers were let in beyond the quota by every gateway, as told use was cut at empty stores.
+// Found in ia0804f: heavy customers were let in beyond the quota by every gateway, as told use was cut at
+// empty stores.
 TEST(Slice, TwoGatewaysOfAHeavyCustomerStayNearTheQuota) {
     Bench a(one_of_two()), b(one_of_two());
     std::uint32_t total = 0;
@@ -273,7 +282,8 @@
     EXPECT_EQ(admitted(a, 1, 6), 2);
 }
 
-// Found in i4be97f: use told of a customer not yet seen here was dropped, so each gateway met it with a full store.
+// Found in i4be97f: use told of a customer not yet seen here was dropped, so each gateway met it with a full
+// store.
 TEST(Slice, UseToldOfACustomerNotYetSeenThinsItsFirstStore) {
     Bench a(one_of_two()), b(one_of_two());
     for (std::uint32_t second = 1; second <= 8; ++second) {
@@ -328,7 +338,8 @@
     EXPECT_EQ(of<Refuse>(out)[0].id, id);
 }
 
-// All instances together must stay under the multiple of the cold host's capacity; one of two takes half at most.
+// All instances together must stay under the multiple of the cold host's capacity; one of two takes half at
+// most.
 TEST(Cold, AFreshHostGetsASmallBudgetThatGrows) {
     Settings s = one_gateway();
     s.plans[0].rate = s.plans[0].burst = 0;
@@ -435,7 +446,8 @@
         for (const Action& a : b.feed(TimerFired{token}))
             EXPECT_TRUE(std::holds_alternative<SetTimer>(a) || std::holds_alternative<SendMessage>(a));
     }
-    EXPECT_TRUE(b.ask(2, 1, 0us).size() == 1 && of<Refuse>(b.actions).size() == 1);  // no time left: answered at once
+    EXPECT_TRUE(b.ask(2, 1, 0us).size() == 1 &&
+                of<Refuse>(b.actions).size() == 1);  // no time left: answered at once
 }
 
 TEST(Settings, ZeroFiguresWork) {
