--- a/src/control.cpp
+++ b/src/control.cpp
@@ -260,8 +260,8 @@
 
     // Brings the stores up to now. The plain store refills at the slice; the rest of the quota is withheld
     // for the other gateways and released once all of them have been heard, less what they told (debited
-    // as it comes). Extends the design where shares move faster than a slice's store can follow. Guards against
-    // skew, shifts and spikes; should hold against any unevenness; harms when peers lie low but spend
+    // as it comes). Extends the design where shares move faster than a slice's store can follow. Guards
+    // against skew, shifts and spikes; should hold against any unevenness; harms when peers lie low but spend
     // (bounded by one burst each).
     void touch(Customer& c) {
         const Plan* p = plan_of(c);
