--- a/src/control.cpp
+++ b/src/control.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <stdexcept>
 #include <unordered_map>
+#include <utility>
 
 #include "peer_message.h"
 #include "silverreach/interface.h"
@@ -16,80 +17,63 @@
 using Actions = std::vector<Action>;
 
 // ---- tuned constants, each with its unit and reason ------------------------------------------------------
-constexpr double cold_factor = 3;   // SmoothWarmingUp's coldInterval / stableInterval, by the design
-constexpr double use_memory_s = 2;  // memory of recent use; shares follow busiest-gateway shifts of seconds
-constexpr double even_prior_s = 0.25;   // seconds of quota at even split blended into every share
-constexpr double debt_most = 0.25;      // told use may push a store this part of its burst below empty
-constexpr Micros silence_starts = 1s;   // a peer is told several times a second; this is many losses in a row
-constexpr Micros silence_full = 3s;     // by then the share is the even split
-constexpr Micros news_period = 125ms;   // pace of messages: far below spike lengths, cheap in bytes
-constexpr double mail_share = 0.9;      // part of a peer's intake that news may fill
-constexpr int news_repeats = 2;         // messages that carry one change, against loss
-constexpr Micros idle_after = 60s;      // idle customers age out; their stores are full long before
-constexpr double stranger_most = 50;    // units that one word on a customer not seen here may count
-constexpr Micros sweep_period = 5s;     // how often ageing runs
-constexpr double slow_part = 0.5;       // an answer slower than this part of its aim counts as slow
-constexpr double slow_weight = 0.04;    // weight of one answer in the slow share
-constexpr double pressed_above = 0.25;  // slow or full share at which the back end looks pressed
-constexpr double relieved_below = 0.20;        // and at which it no longer does
+constexpr double cold_factor = 3;     // SmoothWarmingUp's coldInterval / stableInterval, by the design
+constexpr double use_memory_s = 2;    // memory of recent demand
+constexpr double part_ahead_s = 0.5;  // a part asked for covers this much of the demand seen here
+constexpr double start_part = 0.5;    // of the burst that a fresh home grants: a former one may have spent it
+constexpr double home_hard_part = 0.5;  // of the ceiling that its home owns; the rest lies in even parts
+constexpr int homes = 3;                // a customer's home and the successors asked where it is silent
+constexpr Micros answer_due = 150ms;    // an ask unanswered by then counts as lost
+constexpr int asks_most = 4;            // for one request; then the even slice decides
+constexpr double mail_share = 0.8;  // part of a peer's intake that gateways which talk now may fill together
+constexpr std::size_t outbox_most = 200;  // messages kept for one peer; more are dropped
+constexpr double mail_at_once = 3;        // messages to one peer at once; what comes faster goes out bundled
+constexpr int silent_after = 2;           // asks lost in a row that make a peer count as silent
+constexpr Micros silent_for = 1s;         // it is then passed over this long
+constexpr double wait_stretch_most = 8;   // told waits grow with the demand over the quota, up to this
+constexpr Micros idle_after = 60s, sweep_period = 5s;  // idle customers age out; how often that is looked at
+constexpr double slow_part = 0.5;     // an answer slower than this part of its aim counts as slow
+constexpr double slow_weight = 0.04;  // weight of one answer in the slow share
+constexpr double pressed_above = 0.25, relieved_below = 0.20;  // slow shares: looks pressed, no more
 constexpr double room_below = 0.08;            // slow share under which there is room for more than quotas
 constexpr double answer_weight = 0.05;         // weight of one answer in a host's and the fleet's answer time
 constexpr double waiting_for_each_host = 0.5;  // requests that may wait here, for each host listed
-constexpr double margin_answers = 1.3;         // time kept for the answer when held, in mean answer times
-constexpr double margin_most = 0.8;            // and at most this part of the aim
-constexpr double limit_start = 3;   // attempts out at one host, by all gateways, before anything is known
-constexpr double limit_least = 2;   // by all gateways; fewer would leave most hosts' cores idle
-constexpr double limit_most = 128;  // more in flight at one host never helps
-constexpr double limit_growth =
-    1;                             // added over the limit for each good answer near it, however many gateways
-constexpr double limit_cut = 0.9;  // cut on an answer near its aim, timeout or full
-constexpr double limit_slow_part = 0.25;  // answer time as part of the aim that cuts the limit
-constexpr double ghost_memory_s =
-    1;  // a timed-out attempt goes on filling its place at the host about this long
-constexpr Micros limit_pause = 100ms;    // one cut for one cause
-constexpr double silent_answers = 3.5;   // expected answers missing when silence is evidence (e^-3.5 = 3%)
-constexpr double check_earliest = 0.25;  // silence is looked for between these parts of the aim
-constexpr double check_latest = 0.55;
-constexpr int eject_after = 3;         // failures in a row that eject a host
-constexpr Micros eject_first = 500ms;  // first ejection, doubled with each further one
-constexpr Micros eject_most = 8s;
-constexpr Micros full_pause = 60ms;    // a full host is left alone this long
-constexpr double retry_share = 0.15;   // further attempts earned by each first one
-constexpr double retry_floor = 5;      // further attempts always allowed in that memory
-constexpr double retry_memory_s = 10;  // memory of first and further attempts
-constexpr double cold_caution = 0.8;   // part of the even share, scaled to its capacity, a cold host may get
-constexpr double cold_at_once = 1.5;   // mean requests a cold host may get in one go
-constexpr double warm_memory_s = 5;    // memory of the rate that warm hosts carry
-constexpr Micros told_out_valid = 600ms;  // a peer's word on its attempts out is forgotten after this
-
-enum TimerKind : std::uint64_t {
-    deadline_timer,
-    release_timer,
-    check_timer,
-    expiry_timer,
-    news_timer,
-    sweep_timer
-};
+constexpr double margin_answers = 1.3, margin_most = 0.8;  // kept for the answer: mean times, part of the aim
+constexpr double limit_start = 6, limit_least = 2, limit_most = 128;  // attempts at one host, by all gateways
+constexpr double limit_trust = 10;    // answers by which a host's own limit outweighs the fleet's
+constexpr double long_memory_s = 10;  // memory of answers, first and further attempts
+constexpr double limit_growth = 1, limit_cut = 0.9;  // over the limit for a good answer near it; a bad one
+constexpr double limit_slow_part = 0.25;             // answer time as part of the aim that cuts the limit
+constexpr double silent_answers = 3.5;  // expected answers missing when silence is evidence (e^-3.5 = 3%)
+constexpr double check_earliest = 0.25, check_latest = 0.55;  // of the aim: silence is looked for
+constexpr int eject_after = 3;                                // failures in a row that eject a host
+constexpr Micros eject_first = 500ms, eject_most = 8s;        // first ejection, doubled with each further one
+constexpr Micros full_pause = 60ms;                           // a full host is left alone this long
+constexpr double retry_share = 0.15, retry_floor = 5;  // further attempts earned by each first one, always
+constexpr double cold_caution = 0.8;  // part of the even share, scaled to its capacity, a cold host may get
+constexpr Micros cold_chance_most = 5s;  // time since a cold host was last looked at that counts for its part
+constexpr double warm_memory_s = 5;      // memory of the rate that warm hosts carry
+constexpr double own_view = 2;  // attempts out by which the own view of a host's load outweighs the mean
+
+constexpr std::size_t sampled = 12;     // hosts looked at for a request
+constexpr double known_answers = 30;    // answers of a host in the memory that spare a probe
+constexpr Micros report_valid = 250ms;  // a host's own word on its load is believed this long
+constexpr Micros probe_due = 40ms;      // the better of two hosts is waited for this long
+constexpr int probe_rounds = 2;         // pairs of hosts probed for one request
+constexpr Micros probe_pause = 250ms;   // a host that fails a probe is left alone this long
+
+enum class TimerKind : std::uint64_t { deadline, release, check, expiry, part, probe, flush, sweep };
 constexpr std::uint64_t timer_kinds = 8;
 
-double seconds(Micros t) {
-    return static_cast<double>(t.count()) / 1e6;
-}
-Micros micros(double s) {
-    return Micros(static_cast<std::int64_t>(std::clamp(s, 0.0, 4e3) * 1e6));
-}
+double seconds(Micros t) { return static_cast<double>(t.count()) / 1e6; }
+Micros micros(double s) { return Micros(static_cast<std::int64_t>(std::clamp(s, 0.0, 4e3) * 1e6)); }
 
 // An amount that fades with a fixed memory; over that memory it reads as a rate.
 struct Fading {
     double amount = 0;
     Micros at{0};
-    double value(Micros now, double memory_s) const {
-        return amount * std::exp(-seconds(now - at) / memory_s);
-    }
-    void add(double x, Micros now, double memory_s) {
-        amount = value(now, memory_s) + x;
-        at = now;
-    }
+    double value(Micros now, double memory) const { return amount * std::exp(-seconds(now - at) / memory); }
+    void add(double x, Micros now, double memory) { amount = value(now, memory) + x, at = now; }
 };
 
 // Guava's SmoothWarmingUp for one customer at this gateway. Starts full, hence slow; the next caller pays.
@@ -120,111 +104,93 @@
     }
 };
 
-// What peers told of one customer's use.
-struct ToldUse {
-    struct Of {
-        int peer;
-        std::uint32_t life, total;
-    };
-    std::vector<Of> of;
-    Fading recent;
-    // Units since the peer's last word in this life; older words that come late count nothing.
-    double take(int peer, std::uint32_t life, std::uint32_t total, double most, Micros now) {
-        auto it = std::find_if(of.begin(), of.end(), [&](const Of& o) { return o.peer == peer; });
-        if (it == of.end()) it = of.insert(it, {peer, life, 0});
-        if (it->life != life) *it = {peer, life, 0};
-        const std::uint32_t step = (total - it->total) % total_modulus;
-        if (step >= total_modulus / 2) return 0;
-        it->total = total;
-        const double units = std::min(step / 16.0, most);
-        recent.add(units, now, use_memory_s);
-        return units;
-    }
+// A customer's quota as its home keeps it: what no gateway of the set holds a part of yet.
+struct Ledger {
+    double level = 0, hard = 0;
+    Micros touched{0};
+    Fading asked;  // units asked for by all gateways
 };
 
 struct Customer {
     std::uint32_t hash = 0;
     int plan = -1, set_size = 1, set_start = 0;
     Micros touched{0}, last_use{0};
-    double level = 0;     // plain store: units of the quota this gateway may still send on
-    double withheld = 0;  // refill kept back for the other gateways until they tell their use
-    Micros withheld_since{0};
-    Fading own;               // recent use here
-    ToldUse told;             // and elsewhere
-    std::uint32_t total = 0;  // sixteenths of units sent on inside the quota, as told to peers
-    int tell = 0;             // messages that still have to carry it
+    double level = 0;                 // plain store: units of the quota this gateway may still send on
+    Micros even_at{0};                // when the even slice next covers a unit, where no home answers
+    Fading own;                       // recent demand here
+    double told_demand = 0;           // and by all gateways, units a second, as the home tells
+    Micros told_at{0}, dry_until{0};  // when it told, and until when it has nothing
+    double dry_need = 0;              // for asks of this size
     double hard_level = 0, hard_reserved = 0;  // this gateway's own part of the ceiling
-    int open = 0;                              // attempts out
-    int requests = 0;                          // requests in hand
+    std::uint32_t nonce = 0;                   // of the ask that is out; 0: none
+    int tries = 0;                             // asks for the first in line
+    std::deque<RequestId> asking;              // requests that wait for a part
+    int open = 0, requests = 0;                // attempts out, requests in hand
     WarmUpLimiter limiter;
 };
+struct Ask {
+    Customer* customer;
+    int to;
+    Micros sent;
+};
+struct Peer {
+    int lost = 0;           // asks in a row
+    bool flushing = false;  // a timer is set
+    double tokens = mail_at_once;
+    Micros tokens_at{0}, silent_until{0}, heard{0};
+    std::vector<PeerMessage> outbox;
+};
 
 struct Host {
     HostEntry entry;
     int out = 0;  // own attempts out
     double out_limit = limit_start;
-    Micros last_cut{0}, last_answer{0}, blocked_until{0};
-    Fading ghosts;        // attempts timed out that the host may still work on
+    Micros last_answer{0}, blocked_until{0};
+    Fading answers;       // seen here lately
     double answer_s = 0;  // mean answer time; 0: none seen
     int failures = 0, ejections = 0;
-    double cold_tokens = 0;
-    Micros cold_at{0};
-    std::vector<std::pair<int, Micros>> told_out;  // by peer: attempts out and when told
+    Micros looked_at{0}, reported_at{0};  // when last considered while cold, when it told of itself
+    double reported = -1;                 // requests it holds by its own word
+    bool idle = false;                    // nothing queues there, by its own word
+    std::vector<RequestId> probed_for;    // those that wait for the probe that is out
 };
 
 struct Request {
     RequestArrived ask;
     Customer* customer = nullptr;
-    Micros arrived{0}, deadline{0}, latest_start{0};
-    bool in_quota = true, sent = false, held = false, waiting = false, maybe_ran = false;
-    int attempts = 0, out = 0;
+    Micros deadline{0}, latest_start{0};
+    bool in_quota = true, admitted = false, sent = false, held = false, waiting = false, probing = false,
+         maybe_ran = false;
+    int attempts = 0, out = 0, rounds = 0, probes_out = 0;
+    std::vector<Host*> pair;
     Micros last_sent{0}, first_maybe{0};
-    std::string last_host;
-    std::string group_zone;
+    std::string last_host, group_zone;
     std::int64_t group_cell = 0;
 };
 
-// How answer times grow with a request's units, learned from answers: a line through faded moments.
-struct AnswerTime {
-    double weight = 0, units = 0, time = 0, units_units = 0, units_time = 0;
-    void add(double k, double t) {
-        weight += answer_weight * (1 - weight);
-        units += answer_weight * (k - units);
-        time += answer_weight * (t - time);
-        units_units += answer_weight * (k * k - units_units);
-        units_time += answer_weight * (k * t - units_time);
-    }
-    double expected(double k) const {
-        if (weight <= 0) return 0;
-        const double mean_k = units / weight, mean_t = time / weight;
-        const double spread = units_units / weight - mean_k * mean_k;
-        const double slope = spread > 1e-9 ? (units_time / weight - mean_k * mean_t) / spread : 0;
-        return mean_t + std::max(0.0, slope) * (k - mean_k);
-    }
-};
 }  // namespace
 
 class Gateway::Impl {
   public:
     Impl(Settings settings, std::uint64_t seed, Micros now)
         : s_(std::move(settings)), random_(seed), boot_(now) {
-        if (s_.instances < 1 || s_.rank < 0 || s_.rank >= s_.instances)
-            throw std::invalid_argument("settings: rank must lie within instances");
-        if (s_.max_attempts < 1) throw std::invalid_argument("settings: max_attempts must be 1 at least");
+        const auto check = [](bool fine, const char* what) {
+            if (!fine) throw std::invalid_argument(what);
+        };
+        check(s_.rank >= 0 && s_.rank < s_.instances, "settings: rank must lie within instances");
+        check(s_.max_attempts >= 1, "settings: max_attempts must be 1 at least");
         for (const Plan& p : s_.plans)
-            if (!(p.rate >= 0 && p.burst >= 0 && p.hard_rate >= 0 && p.hard_burst >= 0))
-                throw std::invalid_argument("settings: plan figures must not be negative");
+            check(std::min({p.rate, p.burst, p.hard_rate, p.hard_burst}) >= 0,
+                  "settings: plan figures below 0");
         for (const RequestClass& c : s_.classes)
-            if (c.deadline <= 0us || c.aim <= 0us)
-                throw std::invalid_argument("settings: a class needs an aim and a deadline above 0");
-        life_ = static_cast<std::uint32_t>(random_());
-        heard_.assign(static_cast<std::size_t>(s_.instances), now);
+            check(c.deadline > 0us && c.aim > 0us, "settings: a class needs an aim and a deadline above 0");
+        next_nonce_ = static_cast<std::uint32_t>(random_()) | 1;
     }
 
     void handle(Micros now, const Event& event, Actions& actions) {
         now_ = now;
         actions_ = &actions;
-        if (!started_) start();
+        if (!std::exchange(started_, true)) timer(sweep_period, 0, TimerKind::sweep);
         std::visit([this](const auto& e) { on(e); }, event);
     }
 
@@ -233,166 +199,224 @@
 
     const Plan* plan_of(const Customer& c) const { return c.plan < 0 ? nullptr : &s_.plans[c.plan]; }
 
-    // When the quietest other gateway of the customer's set was last heard.
-    Micros oldest_news(const Customer& c) const {
-        Micros oldest = now_;
-        for (int i = 0; i < c.set_size; ++i) {
-            const int rank = (c.set_start + i) % s_.instances;
-            if (rank != s_.rank) oldest = std::min(oldest, heard_[static_cast<std::size_t>(rank)]);
-        }
-        return oldest;
+    // The set's gateways in the order in which they keep this customer's ledger.
+    int home(std::uint32_t hash, int set_start, int set_size, int place) const {
+        const auto n = static_cast<std::uint32_t>(set_size);
+        const std::uint32_t at = (hash + static_cast<std::uint32_t>(place) * (1 + n / 3)) % n;
+        return static_cast<int>((static_cast<std::uint32_t>(set_start) + at) % s_.instances);
     }
 
-    double silence(Micros oldest) const {
-        return std::clamp(seconds(now_ - oldest - silence_starts) / seconds(silence_full - silence_starts),
-                          0.0, 1.0);
+    // This gateway's part of the customer's recent demand; the even split where no home told it lately.
+    double share(const Customer& c) const {
+        const double even = 1.0 / c.set_size, own = c.own.value(now_, use_memory_s) / use_memory_s;
+        if (c.told_at <= 0us || now_ - c.told_at > sweep_period) return even;
+        return std::clamp(own / std::max({own, c.told_demand, 1e-9}), even, 1.0);
     }
 
-    // This gateway's slice of the quota: its part of the recent use as others tell, blended with the even
-    // split; silence of a peer moves it to the even split.
-    double share(const Customer& c, const Plan& p, double silent) const {
-        const double n = c.set_size;
-        const double prior = even_prior_s * p.rate;
-        const double own = c.own.value(now_, use_memory_s), others = c.told.recent.value(now_, use_memory_s);
-        const double part = (own + prior / n) / (own + others + prior);
-        return (1 - silent) * part + silent / n;
+    // The even part of the ceiling, of what its home does not own.
+    double even_hard(const Customer& c, double figure) const {
+        return figure * (1 - home_hard_part) / c.set_size;
     }
-
-    // Brings the stores up to now. The plain store refills at the slice; the rest of the quota is withheld
-    // for the other gateways and released once all of them have been heard, less what they told (debited
-    // as it comes). Extends the design where shares move faster than a slice's store can follow. Guards
-    // against skew, shifts and spikes; should hold against any unevenness; harms when peers lie low but spend
-    // (bounded by one burst each).
     void touch(Customer& c) {
-        const Plan* p = plan_of(c);
-        const double dt = seconds(now_ - c.touched);
-        c.touched = now_;
-        if (!p) return;
-        const double n = c.set_size;
-        if (p->hard_rate > 0)
-            c.hard_level = std::min(p->hard_burst / n, c.hard_level + dt * p->hard_rate / n);
-        if (p->rate <= 0) return;
-        const Micros oldest = oldest_news(c);
-        const double silent = silence(oldest), part = share(c, *p, silent);
-        c.level += p->rate * part * dt;
-        c.withheld += p->rate * (1 - part) * dt;
-        if (oldest > c.withheld_since) {
-            const double span = seconds(now_ - c.withheld_since);
-            const double freed = c.withheld * std::min(1.0, seconds(oldest - c.withheld_since) / span);
-            c.level += freed;
-            c.withheld -= freed;
-            c.withheld_since = oldest;
-        }
-        const double most = std::max(p->burst * (1 - silent + silent / n), 1.0);
-        c.level = std::min(c.level, most);
-        c.withheld = std::min(c.withheld, p->burst);
+        const double dt = seconds(now_ - std::exchange(c.touched, now_));
+        if (const Plan* p = plan_of(c); p && p->hard_rate > 0)
+            c.hard_level +=
+                std::min(even_hard(c, p->hard_burst) - c.hard_level, dt * even_hard(c, p->hard_rate));
     }
 
     Customer& customer(const RequestArrived& r) {
         auto [it, fresh] = customers_.try_emplace(r.customer);
         Customer& c = it->second;
-        const int set = std::clamp(r.set_size, 1, s_.instances);
-        if (fresh) {
-            c.hash = name_hash(r.customer);
-            c.plan = r.plan;
-            c.set_size = set;
-            c.touched = c.withheld_since = boot_;
-            by_hash_[c.hash] = &c;
-            // Stores count from the start of this instance: the plain one from the even slice of the burst,
-            // the ceiling's part from nothing, for a former life may have spent it all.
-            if (const Plan* p = plan_of(c)) c.level = p->burst / set;
-        }
-        c.set_start = r.set_start % s_.instances;
-        c.set_size = std::max(c.set_size, set);
+        // The ceiling's part counts from this start, from nothing: a former life may have spent it all.
+        if (fresh) c.hash = name_hash(r.customer), c.plan = r.plan, c.touched = boot_;
+        c.set_size = std::max(c.set_size, std::clamp(r.set_size, 1, s_.instances));
+        c.set_start = ((r.set_start % s_.instances) + s_.instances) % s_.instances;
         c.last_use = now_;
         touch(c);
-        // New here but known to peers: what they told of it has thinned the store in the part that their use
-        // is of the quota. Guards against a full store at every gateway a heavy customer comes to.
-        if (const auto known = fresh ? strangers_.find(c.hash) : strangers_.end();
-            known != strangers_.end()) {
-            c.told = std::move(known->second);
-            strangers_.erase(known);
-            if (const Plan* p = plan_of(c); p && p->rate > 0)
-                c.level *=
-                    std::max(0.0, 1 - c.told.recent.value(now_, use_memory_s) / (use_memory_s * p->rate));
-        }
         return c;
     }
 
-    double useful_left(const RequestArrived& r) const {
-        return seconds(std::min(r.time_left, s_.classes[r.request_class].aim));
+    // ---- the ledger of customers whose home is here ----------------------------------------------------
+
+    // Gives a part: what is needed or nothing, and at most half of the rest on top. It is taken off first, so
+    // parts lost on the way are lost and none counts twice. Extends the slice where a gateway's part is below
+    // one request; harms by a burst at most for each home that restarts.
+    PartGiven give(const PartAsk& ask, int from) {
+        const Plan& p = s_.plans[ask.plan];
+        auto [it, fresh] = ledgers_.try_emplace(ask.customer);
+        Ledger& l = it->second;
+        if (fresh) l.level = start_part * p.burst, l.touched = boot_;
+        const double dt = seconds(now_ - std::exchange(l.touched, now_));
+        // A successor keeps less of the burst, and gives none of the ceiling's common part: the home owns it.
+        const bool owns = home(ask.customer, ask.set_start, ask.set_size, 0) == s_.rank;
+        l.level = std::min(p.burst * (owns ? 1 : start_part), l.level + dt * p.rate);
+        if (owns)
+            l.hard = std::min(home_hard_part * p.hard_burst, l.hard + dt * home_hard_part * p.hard_rate);
+        l.asked.add(ask.need + ask.extra, now_, use_memory_s);
+        PartGiven given{ask.nonce};
+        given.demand = l.asked.value(now_, use_memory_s) / use_memory_s;
+        const double over = from == s_.rank ? 1 : given.demand / std::max(p.rate, 1e-9);
+        double wait = ask.need > l.level ? (ask.need - l.level) / std::max(p.rate, 1e-9) : 0;
+        wait *= std::clamp(over, 1.0, wait_stretch_most);
+        if (l.hard < ask.hard) wait = std::max(wait, (ask.hard - l.hard) / std::max(p.hard_rate, 1e-9));
+        if (wait > 0)
+            return given.wait_ms = static_cast<std::uint32_t>(std::min(wait, 60.0) * 1e3) + 1, given;
+        given.units = ask.need + std::clamp((l.level - ask.need) / 2, 0.0, ask.extra);
+        given.hard = ask.hard;
+        l.level -= given.units;
+        l.hard -= given.hard;
+        return given;
+    }
+
+    bool silent(int rank) const {
+        const auto it = peers_.find(rank);
+        return it != peers_.end() && it->second.lost >= silent_after && now_ < it->second.silent_until;
+    }
+
+    // Asks for what the first request in line lacks: the home, else its successors, else the even slice.
+    void obtain(Customer& c) {
+        while (!c.asking.empty() && !requests_.count(c.asking.front())) c.asking.pop_front();
+        if (c.asking.empty()) return;
+        const double k = requests_.at(c.asking.front()).ask.units;
+        PartAsk ask{next_nonce_, c.hash, c.plan, c.set_size, c.set_start, lack(c, k), 0, hard_lack(c, k)};
+        ask.extra = std::max(0.0, c.own.value(now_, use_memory_s) / use_memory_s * part_ahead_s - k);
+        for (int place = 0; place < homes && c.tries < asks_most; ++place) {
+            const int to = home(c.hash, c.set_start, c.set_size, place);
+            if (to == s_.rank) return receive(c, give(ask, s_.rank));
+            if (!s_.may_message || silent(to)) continue;
+            c.nonce = std::exchange(next_nonce_, next_nonce_ + 2);
+            asks_[c.nonce] = {&c, to, now_};
+            ++c.tries;
+            post(to, ask);
+            return timer(answer_due, ask.nonce, TimerKind::part);
+        }
+        c.tries = 0;
+        for (const RequestId id : std::exchange(c.asking, {}))
+            if (const auto it = requests_.find(id); it != requests_.end()) from_even_slice(it->second);
+    }
+
+    // No home answers: the even slice of the quota decides, one request at least at once. Guards against lost
+    // messages and dead homes; over-commit is bounded by a request for each gateway of the set.
+    void from_even_slice(Request& q) {
+        Customer& c = *q.customer;
+        const Plan& p = *plan_of(c);
+        const double k = q.ask.units, even_rate = p.rate / c.set_size;
+        const Micros ahead = micros(std::max(0.0, p.burst / c.set_size - k) / std::max(even_rate, 1e-9));
+        const Micros wait = c.even_at - ahead - now_;
+        if (hard_lack(c, k) > 0) return deny(q, micros(hard_lack(c, k) / even_hard(c, p.hard_rate)));
+        if (lack(c, k) > 0) {
+            if (wait > 0us) return deny(q, wait);
+            c.even_at = std::max(c.even_at, now_) + micros(k / std::max(even_rate, 1e-9));
+            c.level += lack(c, k);
+        }
+        admit(q);
+    }
+
+    double lack(const Customer& c, double k) const {
+        return plan_of(c)->rate > 0 ? std::max(0.0, k - c.level) : 0;
+    }
+    double hard_lack(const Customer& c, double k) const {
+        return plan_of(c)->hard_rate > 0 ? std::max(0.0, k - (c.hard_level - c.hard_reserved)) : 0;
     }
 
-    bool room() const { return !pressed_ && slow_share_ < room_below && waiting_.empty(); }
+    // A part came, or word that there is none: the line moves.
+    void receive(Customer& c, const PartGiven& given) {
+        const Plan& p = *plan_of(c);
+        touch(c);
+        c.tries = 0;
+        c.level = std::min(c.level + given.units, std::max(p.burst, c.level));
+        c.hard_level = std::min(c.hard_level + given.hard, even_hard(c, p.hard_burst));
+        c.told_demand = given.demand, c.told_at = now_;
+        bool any = false;
+        for (const RequestId id : std::exchange(c.asking, {})) {
+            const auto it = requests_.find(id);
+            if (it == requests_.end()) continue;
+            const double k = it->second.ask.units;
+            if (lack(c, k) > 0 || hard_lack(c, k) > 0) c.asking.push_back(id);
+            else admit(it->second), any = true;
+        }
+        if (c.asking.empty() || any) return obtain(c);
+        const Micros wait = std::max(answer_due, Micros(given.wait_ms * 1000));
+        c.dry_until = now_ + wait;
+        for (const RequestId id : std::exchange(c.asking, {}))
+            if (const auto it = requests_.find(id); it != requests_.end())
+                c.dry_need = it->second.ask.units, deny(it->second, wait);
+    }
+
+    // Beyond the quota: refused at once with the wait, unless settings say that excess earns.
+    void deny(Request& q, Micros wait) {
+        const Plan* p = plan_of(*q.customer);
+        const bool earns = p->excess_worth > p->excess_cost && hard_lack(*q.customer, q.ask.units) <= 0;
+        const bool room = !pressed_ && slow_share_ < room_below && waiting_.empty();
+        if (!earns || !room) return refuse(q, wait);
+        q.in_quota = false;
+        admit(q);
+    }
+    void refuse(Request& q, Micros wait) {
+        actions_->push_back(Refuse{q.ask.id, advice(std::max(wait, 0us))});
+        forget(q);
+    }
 
+    // The answer time to expect: half of it for waiting, half for work, which grows with the units.
+    double answer_for(double units) const {
+        return answer_s_ * (1 + units / std::max(mean_units_, 1e-3)) / 2;
+    }
     // Decides on one request: the plain store always, the split slice with warm-up cost while pressed.
     void on(const RequestArrived& r) {
         if (r.request_class < 0 || r.request_class >= static_cast<int>(s_.classes.size()) ||
             r.plan >= static_cast<int>(s_.plans.size()) || requests_.count(r.id))
             return;
-        if (r.time_left <= 0us) return refuse_new(r, 0us);
+        if (r.time_left <= 0us) return actions_->push_back(Refuse{r.id, 0us});
         Customer& c = customer(r);
         Request q;
-        q.ask = r;
+        q.ask = r, q.customer = &c, q.deadline = now_ + r.time_left;
         q.ask.units = std::max(0.0, r.units);
-        q.customer = &c;
-        q.arrived = now_;
-        q.deadline = now_ + r.time_left;
-        const double left = useful_left(r);
-        q.latest_start = now_ + micros(left - std::clamp(margin_answers * by_units_.expected(r.units), 0.0,
-                                                         margin_most * left));
+        const double left = seconds(std::min(r.time_left, s_.classes[r.request_class].aim));
+        const double margin = std::min(margin_answers * answer_for(q.ask.units), margin_most * left);
+        q.latest_start = now_ + micros(left - margin);
         const double k = q.ask.units;
-        Micros wait{0};
-        if (const Plan* p = plan_of(c)) {
-            const double n = c.set_size;
-            const double part = p->rate > 0 ? share(c, *p, silence(oldest_news(c))) : 1;
-            if (p->rate > 0 && c.level < k) q.in_quota = false;
-            if (p->max_open > 0 && c.open >= std::max(1, static_cast<int>(p->max_open * part + 0.5)))
-                q.in_quota = false;
-            if (!q.in_quota && !(p->excess_worth > p->excess_cost && room()))
-                return refuse_new(r, p->rate > 0 ? micros((k - c.level) / (p->rate * part)) : answer_time());
-            const double hard = c.hard_level - c.hard_reserved;
-            if (p->hard_rate > 0 && hard < k) return refuse_new(r, micros((k - hard) / (p->hard_rate / n)));
-            if (pressed_ && p->rate > 0 && p->burst > 0) {
-                const double stable_s = n / p->rate, warmup_s = p->burst / p->rate;
-                c.limiter.resync(now_, stable_s, warmup_s);
-                wait = c.limiter.next_free - now_;
-                if (now_ + wait > q.latest_start) return refuse_new(r, wait);
-                c.limiter.reserve(k, stable_s, warmup_s);
-            }
-            if (q.in_quota) spend(c, k);
-            if (p->hard_rate > 0) c.hard_reserved += k;
-        }
+        c.own.add(k, now_, use_memory_s);
         ++c.requests;
         Request& kept = requests_.emplace(r.id, std::move(q)).first->second;
-        timer(r.time_left - 2 * s_.tick, r.id, deadline_timer);
-        if (wait > 0us) {
-            kept.held = true;
-            timer(wait, r.id, release_timer);
-        } else {
-            dispatch(kept);
-        }
+        timer(r.time_left - 2 * s_.tick, r.id, TimerKind::deadline);
+        const Plan* p = plan_of(c);
+        if (!p || (lack(c, k) <= 0 && hard_lack(c, k) <= 0)) return admit(kept);
+        if (p->max_open > 0 && c.open >= std::max(1, static_cast<int>(p->max_open * share(c) + 0.5)))
+            return deny(kept, micros(answer_s_));
+        if (now_ < c.dry_until && k >= c.dry_need) return deny(kept, c.dry_until - now_);
+        c.asking.push_back(r.id);
+        if (c.nonce == 0) obtain(c);
     }
 
-    void refuse_new(const RequestArrived& r, Micros wait) { actions_->push_back(Refuse{r.id, advice(wait)}); }
-    Micros advice(Micros wait) const { return s_.may_advise_retry ? wait : 0us; }
-
-    void spend(Customer& c, double units) {
-        c.level -= units;
-        c.own.add(units, now_, use_memory_s);
-        c.total = (c.total + static_cast<std::uint32_t>(std::llround(units * 16))) % total_modulus;
-        if (c.set_size > 1 && s_.may_message) {
-            if (c.tell == 0) to_tell_.push_back(c.hash);
-            c.tell = news_repeats;
+    // The stores cover it. While the back end looks pressed the split slice with warm-up cost binds as well.
+    void admit(Request& q) {
+        Customer& c = *q.customer;
+        const Plan* p = plan_of(c);
+        const double k = q.ask.units;
+        Micros wait{0};
+        if (p && pressed_ && p->rate > 0 && p->burst > 0) {
+            const double stable_s = 1 / (p->rate * share(c)), warmup_s = p->burst / p->rate;
+            c.limiter.resync(now_, stable_s, warmup_s);
+            wait = c.limiter.next_free - now_;
+            if (now_ + wait > q.latest_start) return refuse(q, wait);
+            c.limiter.reserve(k, stable_s, warmup_s);
         }
+        q.admitted = true;
+        if (p && p->rate > 0 && q.in_quota) c.level -= k;
+        if (p && p->hard_rate > 0) c.hard_reserved += k;
+        if (wait <= 0us) return dispatch(q);
+        q.held = true;
+        timer(wait, q.ask.id, TimerKind::release);
     }
 
+    Micros advice(Micros wait) const { return s_.may_advise_retry ? wait : 0us; }
+
     // A request that was admitted but never sent gives its units back.
     void give_back(Request& q) {
         Customer& c = *q.customer;
         const Plan* p = plan_of(c);
-        if (!p || q.sent) return;
-        if (q.in_quota) c.level += q.ask.units;
+        if (!p || q.sent || !q.admitted) return;
+        if (q.in_quota && p->rate > 0) c.level += q.ask.units;
         if (p->hard_rate > 0) c.hard_reserved -= q.ask.units;
     }
 
@@ -404,108 +428,163 @@
         return age >= 1 ? 1 : s_.start_capacity + (1 - s_.start_capacity) * std::max(0.0, age);
     }
 
-    // A cold host gets its own small budget: the even share of what warm hosts get from here, scaled to the
-    // capacity it is sure to have. Each instance keeps to its part, so together they stay below the multiple
-    // that fells it. Guards against herds on restarted hosts; holds for probes and retries too; harms if most
-    // of the fleet is cold.
-    void refill_cold(Host& h) {
+    // A cold host gets the even share of what warm hosts get from here, scaled to the capacity it surely has,
+    // as a chance: the part of a request come due since it was last considered. In sum over all gateways the
+    // share holds however few requests each has. Guards against herds on fresh hosts, by first sends and
+    // retries alike; harms where requests cost far more than their units say.
+    bool cold_turn(Host& h, double units) {
         const double rate =
             cold_caution * std::min(1.0, s_.fall_multiple / 2) * capacity_share(h) * warm_rate_;
-        h.cold_tokens =
-            std::min(cold_at_once * mean_units_, h.cold_tokens + rate * seconds(now_ - h.cold_at));
-        h.cold_at = now_;
+        const double due = rate * seconds(std::min(now_ - h.looked_at, cold_chance_most));
+        h.looked_at = now_;
+        return uniform() * std::max(units, 1e-3) < due;
     }
+    double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
 
-    // Own attempts at a host, with those given up that it cannot be assumed to have stopped. Guards against
-    // filling a host with unseen work; harms where a time-out did stop the work (it then stands idle for the
-    // memory's length).
-    double busy(const Host& h) const { return h.out + h.ghosts.value(now_, ghost_memory_s); }
-
-    // Attempts out at a host by all gateways: own ones, those that peers told, and for a silent peer as many
-    // as here. The limit is on this sum: limits of each gateway's own would add up with their number and
-    // overdrive hosts.
+    // Attempts out at a host by all gateways: own ones, and for each other gateway the mean of own attempts,
+    // moved to what is out here as far as own attempts are many enough to tell. One rule from two gateways to
+    // hundreds.
     double load(const Host& h) const {
-        double told = 0;
-        int silent = s_.instances - 1;
-        for (const auto& [count, when] : h.told_out)
-            if (when > 0us && now_ - when < told_out_valid) told += count, --silent;
-        return busy(h) * (1 + silent) + told;
+        const double own = h.out, hosts = static_cast<double>(std::max<std::size_t>(1, order_.size()));
+        const double mean = work_out_.value(now_, warm_memory_s) / (warm_memory_s * hosts);  // Little's law
+        return own + (s_.instances - 1) * mean * (own + own_view) / (mean + own_view);
+    }
+
+    // The most attempts out at a host: its own limit as far as its answers are known, else the fleet's.
+    double limit(const Host& h) const {
+        const double known = h.answers.value(now_, long_memory_s), trust = known / (known + limit_trust);
+        return trust * h.out_limit + (1 - trust) * limit_;
     }
 
     bool in_group(const Request& q, const Host& h) const {
-        if (!q.maybe_ran) return true;
         const RequestClass& k = s_.classes[q.ask.request_class];
-        if (k.effect == Effect::safe) return true;
+        if (!q.maybe_ran || k.effect == Effect::safe) return true;
         if (k.effect == Effect::unsafe || now_ - q.first_maybe >= k.repeat_window) return false;
-        if (k.repeat_scope == RepeatScope::all) return true;
-        return k.repeat_scope == RepeatScope::zone ? h.entry.zone == q.group_zone
-                                                   : h.entry.cell == q.group_cell;
-    }
-
-    Host* pick(const Request& q) {
-        Host* best = nullptr;
-        double best_cost = 0;
-        for (auto& [name, h] : hosts_) {
-            if (h.entry.state != HostState::up || now_ < h.blocked_until) continue;
+        return k.repeat_scope == RepeatScope::all ||
+               (k.repeat_scope == RepeatScope::zone ? h.entry.zone == q.group_zone
+                                                    : h.entry.cell == q.group_cell);
+    }
+
+    // Requests at a host: by its own word while that is fresh, with what went there since, else by estimate.
+    double held(const Host& h) const {
+        const double age = seconds(now_ - h.reported_at) / seconds(report_valid);
+        if (h.reported < 0 || age >= 1) return load(h);
+        return (1 - age) * h.reported + age * load(h);
+    }
+    double cost(const Host& h) const {
+        const double known = h.answers.value(now_, long_memory_s);
+        const double like = std::max(answer_s_, 1e-3);
+        const double answer = (known * h.answer_s + limit_trust * like) / (known + limit_trust);
+        return (held(h) + 1) * answer / (std::max(h.entry.weight, 1e-3) * capacity_share(h));
+    }
+
+    // The best two of a sample of the hosts that could take it.
+    std::vector<Host*> pick(const Request& q) {
+        std::pair<double, Host*> best{0, nullptr}, second{0, nullptr};
+        std::size_t seen = 0;
+        for (std::size_t i = 0; i < order_.size() && seen < sampled; ++i) {
+            std::swap(order_[i], order_[i + random_() % (order_.size() - i)]);
+            Host& h = *order_[i];
             if (h.ejections > 0 && h.failures > 0 && h.out > 0) continue;  // one trial at a time
-            if (!in_group(q, h)) continue;
-            const double held = load(h);
-            if (held >= h.out_limit) continue;
-            const double warm = capacity_share(h);
-            if (warm < 1) {
-                refill_cold(h);
-                if (h.cold_tokens <= 0) continue;
-            }
-            const double answer = h.answer_s > 0 ? h.answer_s : std::max(answer_s_, 1e-3);
-            double cost = (held + 1) * answer / (std::max(h.entry.weight, 1e-3) * warm);
-            if (h.entry.zone != s_.zone) cost *= 1 + 5 * s_.cross_zone_cost;
-            if (name == q.last_host) cost *= 4;
-            cost *= 0.95 + 0.1 * (static_cast<double>(random_() >> 11) * 0x1p-53);
-            if (!best || cost < best_cost) best = &h, best_cost = cost;
+            if (!takes(h) || !in_group(q, h)) continue;
+            ++seen;
+            const bool cold = capacity_share(h) < 1 && warm_ > 0;
+            if (cold && cold_turn(h, q.ask.units)) return {&h};
+            if (cold) continue;
+            double c = cost(h) * (0.95 + 0.1 * uniform());
+            if (h.entry.zone != s_.zone) c *= 1 + 5 * s_.cross_zone_cost;
+            if (h.entry.host == q.last_host) c *= 4;
+            if (!best.second || c < best.first) second = best, best = {c, &h};
+            else if (!second.second || c < second.first) second = {c, &h};
         }
-        return best;
+        std::vector<Host*> pair{best.second, second.second};
+        std::erase(pair, nullptr);
+        return pair;
     }
 
-    // Sends if a host can take it; else the request waits for one until its latest start.
+    // Sends if a host can take it, or asks the best two how they are; else the request waits for one until
+    // its latest start. Probes stand in for answers where this gateway sees few of a host's.
     bool try_send(Request& q) {
-        Host* h = pick(q);
-        if (!h) return false;
+        q.pair = pick(q);
+        if (q.pair.empty()) return false;
+        if (q.rounds >= probe_rounds || !s_.may_probe || knows(*q.pair.front())) {
+            send_to(q, *q.pair.front());
+            return true;
+        }
+        ++q.rounds;
+        q.held = q.waiting = false;
+        q.probing = true;
+        q.probes_out = static_cast<int>(q.pair.size());
+        for (Host* h : q.pair) {
+            h->probed_for.push_back(q.ask.id);
+            if (h->probed_for.size() == 1) actions_->push_back(ProbeHost{h->entry.host});
+        }
+        timer(probe_due, q.ask.id, TimerKind::probe);
+        return true;
+    }
+    bool knows(const Host& h) const {
+        return h.answers.value(now_, long_memory_s) >= known_answers ||
+               (h.reported_at > 0us && now_ - h.reported_at < report_valid);
+    }
+    bool takes(const Host& h) const {
+        return h.entry.state == HostState::up && now_ >= h.blocked_until && held(h) < limit(h);
+    }
+
+    void on(const ProbeEnded& e) {
+        const auto it = hosts_.find(e.host);
+        if (it == hosts_.end()) return;
+        Host& h = it->second;
+        const bool good = e.outcome == Outcome::good;
+        if (good) note_report(h, e.report);
+        else h.blocked_until = std::max(h.blocked_until, now_ + probe_pause);
+        for (const RequestId id : std::exchange(h.probed_for, {})) {
+            const auto found = requests_.find(id);
+            if (found == requests_.end() || !found->second.probing) continue;
+            Request& q = found->second;
+            if (!std::count(q.pair.begin(), q.pair.end(), &h)) continue;
+            --q.probes_out;
+            if (good && h.idle && takes(h)) send_to(q, h);
+            else if (q.probes_out <= 0) choose(q);
+        }
+        pump();
+    }
+    void note_report(Host& h, const LoadReport& r) {
+        h.reported_at = now_;
+        h.idle = r.queued < 0.5;  // also where the site's hosts tell nothing: the first to answer is taken
+        h.reported = r.outstanding >= 0 ? r.outstanding : r.queued >= 0 ? r.queued + load(h) : -1;
+    }
+    // The probes are in, or waited for long enough: the better of those that answered.
+    void choose(Request& q) {
+        q.probing = false;
+        Host* best = nullptr;
+        for (Host* h : q.pair)
+            if (takes(*h) && knows(*h) && (!best || cost(*h) < cost(*best))) best = h;
+        if (best && now_ <= q.latest_start) return send_to(q, *best);
+        dispatch(q);
+    }
+
+    void send_to(Request& q, Host& h) {
         Customer& c = *q.customer;
         const Plan* p = plan_of(c);
         if (!q.sent && p && p->hard_rate > 0) {
             touch(c);
-            c.hard_level -= q.ask.units;
-            c.hard_reserved -= q.ask.units;
+            c.hard_level -= q.ask.units, c.hard_reserved -= q.ask.units;
         }
-        if (!q.sent) retry_earned_.add(1, now_, retry_memory_s);
+        if (!q.sent) retry_earned_.add(1, now_, long_memory_s);
         q.sent = true;
-        q.held = q.waiting = false;
-        ++q.attempts;
-        ++q.out;
-        ++c.open;
-        q.last_host = h->entry.host;
-        q.last_sent = now_;
-        note_sent(*h, q.ask.units);
-        actions_->push_back(SendAttempt{q.ask.id, h->entry.host, std::max(q.deadline - now_, 1us)});
+        q.held = q.waiting = q.probing = false, q.rounds = 0;
+        ++q.attempts, ++q.out, ++c.open;
+        q.last_host = h.entry.host, q.last_sent = now_;
+        if (h.reported >= 0) ++h.reported;
+        if (h.out++ == 0) h.last_answer = now_;
+        mean_units_ += answer_weight * (q.ask.units - mean_units_);
+        if (capacity_share(h) >= 1) warm_sent_.add(q.ask.units, now_, warm_memory_s);
+        const double over = static_cast<double>(2 * warm_ >= order_.size() ? warm_ : order_.size()) + 1;
+        warm_rate_ = warm_sent_.value(now_, warm_memory_s) / (warm_memory_s * over);
+        actions_->push_back(SendAttempt{q.ask.id, h.entry.host, std::max(q.deadline - now_, 1us)});
         const double aim = seconds(s_.classes[q.ask.request_class].aim);
         timer(micros(std::clamp(silent_answers * answer_s_, check_earliest * aim, check_latest * aim)),
-              q.ask.id, check_timer);
-        return true;
-    }
-
-    void note_sent(Host& h, double units) {
-        if (h.out++ == 0) h.last_answer = now_;
-        mean_units_ += answer_weight * (units - mean_units_);
-        if (capacity_share(h) < 1) {
-            h.cold_tokens -= units;
-            return;
-        }
-        warm_sent_.add(units, now_, warm_memory_s);
-        int warm = 0;
-        for (const auto& [name, other] : hosts_)
-            warm += other.entry.state == HostState::up && capacity_share(other) >= 1;
-        if (2 * warm >= static_cast<int>(hosts_.size()))
-            warm_rate_ = warm_sent_.value(now_, warm_memory_s) / (warm_memory_s * std::max(1, warm));
+              q.ask.id, TimerKind::check);
     }
 
     void dispatch(Request& q) {
@@ -514,24 +593,18 @@
         if (now_ >= q.latest_start) return finish(q);
         q.waiting = true;
         waiting_.push_back(q.ask.id);
-        timer(q.latest_start - now_, q.ask.id, expiry_timer);
-        shorten_line();
-    }
-
-    // Of more that wait than hosts could soon take, the oldest is answered now, so that its client can come
-    // again in time. Guards against a line that only ages; harms if many places come free at once.
-    void shorten_line() {
-        const auto most =
-            static_cast<std::size_t>(waiting_for_each_host * static_cast<double>(hosts_.size())) + 1;
-        if (waiting_.size() <= most) return;
+        timer(q.latest_start - now_, q.ask.id, TimerKind::expiry);
+        // Of more that wait than hosts could soon take, the oldest is answered now, so that its client can
+        // come again in time. Guards against a line that only ages; harms if many places come free at once.
+        if (static_cast<double>(waiting_.size()) <= waiting_for_each_host * order_.size() + 1) return;
         const auto it = requests_.find(waiting_.front());
         waiting_.pop_front();
         if (it != requests_.end() && it->second.waiting) finish(it->second);
     }
 
-    // Lets waiting requests go while hosts have room, newest first: in overload a queue served in order makes
-    // every request leave at its last moment and finish late; served from its fresh end, those sent can still
-    // be in time. Guards against any lasting shortage of hosts; harms the few that wait in a short one.
+    // Lets waiting requests go while hosts have room, newest first: served in order, every request would
+    // leave at its last moment. Guards against any lasting shortage of hosts; harms the few that wait in a
+    // short one.
     void pump() {
         for (std::size_t i = waiting_.size(); i-- > 0;) {
             const auto it = requests_.find(waiting_[i]);
@@ -549,10 +622,8 @@
         const RequestClass& k = s_.classes[q.ask.request_class];
         const bool harmless = k.effect == Effect::safe || !(q.maybe_ran || q.out > 0) ||
                               (k.effect == Effect::keyed && k.repeat_scope == RepeatScope::all && q.out == 0);
-        if (harmless)
-            actions_->push_back(Refuse{q.ask.id, advice(q.sent ? 0us : answer_time())});
-        else
-            actions_->push_back(Fail{q.ask.id});
+        if (harmless) return refuse(q, q.sent ? 0us : micros(answer_s_));
+        actions_->push_back(Fail{q.ask.id});
         forget(q);
     }
     void forget(Request& q) {
@@ -560,7 +631,6 @@
         --q.customer->requests;
         requests_.erase(q.ask.id);
     }
-    Micros answer_time() const { return micros(answer_s_); }
 
     // ---- outcomes and health ----------------------------------------------------------------------------
 
@@ -574,28 +644,27 @@
                                         : (answer_s_ > 0 ? 0.8 * answer_s_ + 0.2 * took : took);
             answer_s_ = answer_s_ > 0 ? answer_s_ + answer_weight * (took - answer_s_) : took;
         }
-        // A time-out tells only that the answer takes longer than the client had: it counts as slow or bad by
-        // its length, and as the host's failure only if the host was silent all along. Guards against clients
-        // of little patience and costly requests putting good hosts out; harms where a host fails some
-        // requests by silence.
+        // A time-out counts as slow or bad by its length, and as the host's failure only if the host was
+        // silent all along. Guards against clients of little patience and costly requests putting good hosts
+        // out.
         const bool late = a.outcome == Outcome::timeout, silent = late && h.last_answer + a.took < now_;
         const bool bad = a.outcome == Outcome::full || (late && took > limit_slow_part * aim_s);
+        h.answers.add(1, now_, long_memory_s);
+        const bool near = load(h) + 2 > limit(h);
         if (bad || (good && took > limit_slow_part * aim_s)) {
-            if (now_ - h.last_cut >= limit_pause)
-                h.out_limit = std::max(limit_least, h.out_limit * limit_cut), h.last_cut = now_;
-        } else if (good && load(h) + 2 > h.out_limit) {
+            limit_ = std::max(limit_least, limit_ * limit_cut);
+            h.out_limit = std::max(limit_least, h.out_limit * limit_cut);
+        } else if (good && near) {
+            limit_ = std::min(limit_most, limit_ + limit_growth / limit_);
             h.out_limit = std::min(limit_most, h.out_limit + limit_growth / h.out_limit);
         }
         if (good || late || bad) {
-            slow_share_ +=
-                slow_weight * ((a.outcome == Outcome::full || took > slow_part * aim_s) - slow_share_);
+            const bool slow = a.outcome == Outcome::full || took > slow_part * aim_s;
+            slow_share_ += slow_weight * (slow - slow_share_);
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
-        if (a.outcome == Outcome::timeout || a.outcome == Outcome::cancelled)
-            h.ghosts.add(1, now_, ghost_memory_s);
         if (a.outcome == Outcome::full) h.blocked_until = std::max(h.blocked_until, now_ + full_pause);
-        // Outlier ejection: answers any run of failures, fast or slow. Harms if all hosts fail for one
-        // client's sake.
+        // Ejection: meets any run of failures, fast or slow. Harms if all hosts fail for one client's sake.
         if (a.outcome == Outcome::error || silent) fail(h, 1);
         if (a.outcome == Outcome::connect_failed || a.outcome == Outcome::reset) fail(h, eject_after);
     }
@@ -611,12 +680,11 @@
         const auto found = requests_.find(a.id);
         if (host != hosts_.end()) {
             host->second.out = std::max(0, host->second.out - 1);
+            work_out_.add(seconds(a.took), now_, warm_memory_s);
             const double aim =
                 found == requests_.end() ? aim_s() : seconds(s_.classes[found->second.ask.request_class].aim);
+            if (a.report.queued >= 0 || a.report.outstanding >= 0) note_report(host->second, a.report);
             judge(host->second, a, aim);
-            if (a.outcome == Outcome::good || a.outcome == Outcome::timeout)
-                by_units_.add(found == requests_.end() ? mean_units_ : found->second.ask.units,
-                              seconds(a.took));
         }
         if (found != requests_.end()) {
             Request& q = found->second;
@@ -626,8 +694,7 @@
                 q.customer->level += q.ask.units - a.true_units;
             const bool never_ran = a.outcome == Outcome::full || a.outcome == Outcome::connect_failed ||
                                    a.outcome == Outcome::moot;
-            if (a.settled)
-                forget(q);
+            if (a.settled) forget(q);
             else {
                 if (!never_ran && !q.maybe_ran) {
                     q.maybe_ran = true;
@@ -645,22 +712,21 @@
     // A further attempt, only from the retry budget and only if it can still be in time.
     void again(Request& q) {
         const RequestClass& k = s_.classes[q.ask.request_class];
-        const bool allowed = !q.maybe_ran || k.effect == Effect::safe ||
-                             (k.effect == Effect::keyed && now_ - q.first_maybe < k.repeat_window);
-        if (!allowed || q.attempts >= s_.max_attempts || now_ >= q.latest_start || !take_retry())
-            return finish(q);
+        const bool keyed = k.effect == Effect::keyed && now_ - q.first_maybe < k.repeat_window;
+        const bool may = (!q.maybe_ran || k.effect == Effect::safe || keyed) && q.attempts < s_.max_attempts;
+        if (!may || now_ >= q.latest_start || !take_retry()) return finish(q);
         dispatch(q);
     }
     bool take_retry() {
-        const double earned = retry_earned_.value(now_, retry_memory_s) * retry_share + retry_floor;
-        if (retry_spent_.value(now_, retry_memory_s) + 1 > earned) return false;
-        retry_spent_.add(1, now_, retry_memory_s);
+        const double earned = retry_earned_.value(now_, long_memory_s) * retry_share + retry_floor;
+        if (retry_spent_.value(now_, long_memory_s) + 1 > earned) return false;
+        retry_spent_.add(1, now_, long_memory_s);
         return true;
     }
 
-    // Looks whether a host fell silent under an attempt: expected answers missing, whatever the cause. Then a
-    // second copy, or where none may be out a cancel, and the host is ejected. Guards against silent death,
-    // cut links and stalls; harms when a slow request is alone on a host (then the evidence needs longer).
+    // Expected answers missing under an attempt, whatever the cause: a second copy, or where none may be out
+    // a cancel, and the host is ejected. Guards against silent death, cut links and stalls; harms when a slow
+    // request is alone on a host (then the evidence needs longer).
     void check(Request& q) {
         if (q.out == 0 || q.waiting) return;
         const auto it = hosts_.find(q.last_host);
@@ -670,17 +736,13 @@
         const double missing = h.out * quiet / std::max(h.answer_s > 0 ? h.answer_s : answer_s_, 1e-3);
         if (missing < silent_answers || quiet < check_earliest * aim_s()) return;
         fail(h, eject_after);
-        if (s_.classes[q.ask.request_class].effect != Effect::safe || q.attempts >= s_.max_attempts ||
-            now_ >= q.latest_start)
-            return;
-        if (s_.second_copies) {
-            if (take_retry()) try_send(q);
-        } else if (s_.may_cancel) {
+        const bool safe = s_.classes[q.ask.request_class].effect == Effect::safe;
+        if (!safe || q.attempts >= s_.max_attempts || now_ >= q.latest_start) return;
+        if (s_.second_copies && take_retry()) try_send(q);
+        else if (!s_.second_copies && s_.may_cancel)
             actions_->push_back(CancelAttempt{q.ask.id, q.attempts - 1});
-        }
     }
 
-    void on(const ProbeEnded&) {}
     void on(const ClientLeft& e) {
         if (const auto it = requests_.find(e.id); it != requests_.end()) forget(it->second);
     }
@@ -688,134 +750,139 @@
     // ---- the list of hosts ------------------------------------------------------------------------------
 
     void on(const HostsChanged& e) {
-        if (e.whole_list)
-            for (auto& [name, h] : hosts_) h.entry.state = HostState::gone;
+        for (auto& [name, h] : hosts_)
+            if (e.whole_list) h.entry.state = HostState::gone;
         for (const HostEntry& entry : e.entries) {
             auto [it, fresh] = hosts_.try_emplace(entry.host);
             Host& h = it->second;
             if (fresh || entry.started != h.entry.started) {
-                const int out = h.out;
-                h = Host{};
-                h.out = out;
-                h.cold_at = h.last_answer = now_;
+                h.out = std::exchange(h, Host{}).out;
+                h.looked_at = h.last_answer = now_;
             }
             h.entry = entry;
         }
         std::erase_if(hosts_, [](const auto& h) {
             return h.second.entry.state == HostState::gone && h.second.out == 0;
         });
+        list_hosts();
         pump();
     }
 
-    // ---- news among gateways ----------------------------------------------------------------------------
+    void list_hosts() {
+        order_.clear();
+        warm_ = 0;
+        for (auto& [name, h] : hosts_) {
+            order_.push_back(&h);
+            warm_ += h.entry.state == HostState::up && capacity_share(h) >= 1;
+        }
+        for (auto& [id, q] : requests_) q.pair.clear();  // a host may be gone
+    }
+
+    // ---- parts among gateways -------------------------------------------------------------------------
 
     void on(const MessageArrived& m) {
         if (m.from < 0 || m.from >= s_.instances || m.from == s_.rank) return;
-        const auto news = unpack(m.bytes);
-        if (!news) return;
-        heard_[static_cast<std::size_t>(m.from)] = now_;
-        for (const PeerUse& use : news->uses) {
-            const auto it = by_hash_.find(use.customer);
-            if (it == by_hash_.end()) {
-                strangers_[use.customer].take(m.from, news->life, use.total, stranger_most, now_);
-                continue;
-            }
-            Customer& c = *it->second;
-            const Plan* p = plan_of(c);
-            if (!p) continue;
-            touch(c);
-            const double units = c.told.take(m.from, news->life, use.total, p->burst, now_);
-            if (units <= 0) continue;
-            // What was withheld for the others pays first; a debit cut at an empty store would be forgotten.
-            const double kept_back = std::min(c.withheld, units);
-            c.withheld -= kept_back;
-            c.level = std::max(std::min(c.level, -debt_most * p->burst), c.level - (units - kept_back));
-        }
-        for (auto& [name, h] : hosts_) {
-            h.told_out.resize(static_cast<std::size_t>(s_.instances));
-            auto& told = h.told_out[static_cast<std::size_t>(m.from)];
-            told = {0, now_};
-            const auto key = static_cast<std::uint16_t>(name_hash(name));
-            for (const PeerOutstanding& o : news->hosts)
-                if (o.host == key) told.first = o.count;
+        const auto messages = unpack(m.bytes);
+        if (!messages) return;
+        Peer& peer = peers_[m.from];
+        peer.lost = 0;
+        if (now_ - heard_since_ >= silent_for) heard_before_ = std::exchange(heard_, 0), heard_since_ = now_;
+        if (peer.heard < heard_since_) ++heard_;
+        peer.heard = now_;
+        for (const PeerMessage& message : *messages) {
+            const auto* ask = std::get_if<PartAsk>(&message);
+            if (!ask) take_part(m.from, std::get<PartGiven>(message));
+            else if (ask->plan < static_cast<int>(s_.plans.size()) && ask->set_size >= 1 &&
+                     ask->set_size <= s_.instances)
+                post(m.from, give(*ask, m.from));
         }
     }
 
-    void tell_news() {
-        PeerNews news;
-        news.life = life_;
-        news.sequence = sequence_++;
-        for (const auto& [name, h] : hosts_)
-            if (h.out > 0 && news.hosts.size() < 40)
-                news.hosts.push_back({static_cast<std::uint16_t>(name_hash(name)),
-                                      static_cast<std::uint8_t>(std::min(h.out, 255))});
-        const std::size_t room = uses_that_fit(news.hosts.size());
-        std::deque<std::uint32_t> later;
-        while (!to_tell_.empty() && news.uses.size() < room) {
-            const std::uint32_t hash = to_tell_.front();
-            to_tell_.pop_front();
-            const auto it = by_hash_.find(hash);
-            if (it == by_hash_.end()) continue;
-            Customer& c = *it->second;
-            news.uses.push_back({hash, c.total});
-            c.tell = to_tell_.size() > room ? 0 : c.tell - 1;  // no repeats while news is waiting
-            if (c.tell > 0) later.push_back(hash);
+    // Messages to a peer go out at once while they are few; what comes faster than its intake allows, shared
+    // by those that talk now, is bundled. Guards against asks lost in a full intake; harms by the wait.
+    void post(int to, const PeerMessage& message) {
+        Peer& peer = peers_[to];
+        if (peer.outbox.size() < outbox_most) peer.outbox.push_back(message);
+        flush(to, peer);
+    }
+    void flush(int to, Peer& peer) {
+        const double talkers = std::clamp(std::max(heard_, heard_before_), 1, s_.instances);
+        const double rate = std::max(1.0, s_.messages_per_s * mail_share / talkers);
+        peer.tokens = std::min(mail_at_once, peer.tokens + rate * seconds(now_ - peer.tokens_at));
+        peer.tokens_at = now_;
+        while (!peer.outbox.empty() && peer.tokens >= 1) {
+            peer.tokens -= 1;
+            actions_->push_back(SendMessage{to, pack(peer.outbox)});
+            const auto sent = static_cast<std::ptrdiff_t>(std::min(peer.outbox.size(), most_together));
+            peer.outbox.erase(peer.outbox.begin(), peer.outbox.begin() + sent);
         }
-        to_tell_.insert(to_tell_.end(), later.begin(), later.end());
-        actions_->push_back(SendMessage{-1, pack(news)});
+        if (!peer.outbox.empty() && !std::exchange(peer.flushing, true))
+            timer(micros((1 - peer.tokens) / rate), static_cast<RequestId>(to), TimerKind::flush);
+    }
+
+    void take_part(int from, PartGiven given) {
+        const auto it = asks_.find(given.nonce);
+        if (it == asks_.end() || it->second.to != from) return;
+        // Held up by an own stall: the ceiling's store has long been refilled for the giver.
+        if (now_ - it->second.sent > 2 * answer_due) given.hard = 0;
+        receive(close(it), given);
+    }
+
+    // An ask unanswered in time: once more, then the next home. A timer that comes far too late tells of an
+    // own stall: the answer may lie in the backlog behind it, so nobody is blamed yet.
+    void part_overdue(std::uint32_t nonce) {
+        const auto it = asks_.find(nonce);
+        if (it == asks_.end()) return;
+        if (now_ - std::exchange(it->second.sent, now_) > 2 * answer_due)
+            return timer(answer_due, nonce, TimerKind::part);
+        Peer& peer = peers_[it->second.to];
+        if (++peer.lost >= silent_after) peer.silent_until = now_ + silent_for;
+        obtain(close(it));
+    }
+    Customer& close(std::unordered_map<std::uint32_t, Ask>::iterator ask) {
+        Customer& c = *ask->second.customer;
+        asks_.erase(ask);
+        c.nonce = 0;
+        return c;
     }
 
     // ---- timers -----------------------------------------------------------------------------------------
 
     void timer(Micros wait, RequestId id, TimerKind kind) {
-        actions_->push_back(SetTimer{std::max(wait, 1us), id * timer_kinds + kind});
-    }
-
-    void start() {
-        started_ = true;
-        if (s_.may_message && s_.instances > 1)
-            timer(news_period * static_cast<int>(1 + random_() % 100) / 100, 0, news_timer);
-        timer(sweep_period, 0, sweep_timer);
+        const auto token = id * timer_kinds + static_cast<std::uint64_t>(kind);
+        actions_->push_back(SetTimer{std::max(wait, 1us), token});
     }
 
     void on(const TimerFired& t) {
         const auto kind = static_cast<TimerKind>(t.token % timer_kinds);
-        if (kind == news_timer) {
-            tell_news();
-            const double least = (s_.instances - 1) / std::max(1.0, s_.messages_per_s * mail_share);
-            return timer(std::max(news_period, micros(least)), 0, news_timer);
-        }
-        if (kind == sweep_timer) {
-            sweep();
-            return timer(sweep_period, 0, sweep_timer);
+        const std::uint64_t about = t.token / timer_kinds;
+        if (kind == TimerKind::part) return part_overdue(static_cast<std::uint32_t>(about));
+        if (kind == TimerKind::flush) {
+            const auto peer = peers_.find(static_cast<int>(about));
+            if (peer != peers_.end()) peer->second.flushing = false, flush(peer->first, peer->second);
+            return;
         }
-        const auto it = requests_.find(t.token / timer_kinds);
+        if (kind == TimerKind::sweep && about == 0) return sweep();
+        const auto it = requests_.find(about);
         if (it == requests_.end()) return pump();
         Request& q = it->second;
-        if (kind == deadline_timer)
-            finish(q);
-        else if (kind == release_timer && q.held)
-            dispatch(q);
-        else if (kind == expiry_timer && q.waiting && now_ >= q.latest_start)
-            finish(q);
-        else if (kind == check_timer)
-            check(q);
+        if (kind == TimerKind::deadline) finish(q);
+        else if (kind == TimerKind::release && q.held) dispatch(q);
+        else if (kind == TimerKind::expiry && q.waiting && now_ >= q.latest_start) finish(q);
+        else if (kind == TimerKind::check) check(q);
+        else if (kind == TimerKind::probe && q.probing) choose(q);
         pump();
     }
 
     // Ages out idle customers; one that still has requests in hand stays.
     void sweep() {
-        std::erase_if(strangers_, [this](const auto& s) { return now_ - s.second.recent.at >= idle_after; });
-        for (auto it = customers_.begin(); it != customers_.end();) {
-            Customer& c = it->second;
-            if (now_ - c.last_use < idle_after || c.requests > 0) {
-                ++it;
-                continue;
-            }
-            if (const auto h = by_hash_.find(c.hash); h != by_hash_.end() && h->second == &c)
-                by_hash_.erase(h);
-            it = customers_.erase(it);
-        }
+        timer(sweep_period, 0, TimerKind::sweep);
+        list_hosts();
+        std::erase_if(peers_, [this](const auto& p) { return now_ - p.second.tokens_at >= idle_after; });
+        std::erase_if(ledgers_, [this](const auto& l) { return now_ - l.second.touched >= idle_after; });
+        std::erase_if(customers_, [this](const auto& c) {
+            return now_ - c.second.last_use >= idle_after && c.second.requests == 0 && c.second.nonce == 0;
+        });
     }
 
     Settings s_;
@@ -823,19 +890,20 @@
     Micros boot_, now_{0};
     Actions* actions_ = nullptr;
     bool started_ = false;
-    std::uint32_t life_ = 0;
-    std::uint16_t sequence_ = 0;
+    std::uint32_t next_nonce_ = 1;
+    int heard_ = 0, heard_before_ = 0;  // peers that spoke in this window and the one before
+    Micros heard_since_{0};
     std::unordered_map<std::string, Customer> customers_;
-    std::unordered_map<std::uint32_t, Customer*> by_hash_;
-    std::unordered_map<std::uint32_t, ToldUse> strangers_;  // told by peers, not yet seen here
+    std::unordered_map<std::uint32_t, Ledger> ledgers_;  // by hash of the customer's name
+    std::unordered_map<std::uint32_t, Ask> asks_;        // by nonce
+    std::unordered_map<int, Peer> peers_;                // those talked with
     std::unordered_map<RequestId, Request> requests_;
     std::map<std::string, Host> hosts_;
-    std::vector<Micros> heard_;  // by rank: when that gateway was last heard
     std::deque<RequestId> waiting_;
-    std::deque<std::uint32_t> to_tell_;
-    Fading warm_sent_, retry_earned_, retry_spent_;
-    double answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0;
-    AnswerTime by_units_;
+    std::vector<Host*> order_;  // all hosts, shuffled as they are sampled
+    std::size_t warm_ = 0;
+    Fading warm_sent_, work_out_, retry_earned_, retry_spent_;
+    double answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0, limit_ = limit_start;
     bool pressed_ = false;
 };
 
--- a/src/peer_message.cpp
+++ b/src/peer_message.cpp
@@ -1,13 +1,38 @@
 #include "peer_message.h"
 
+#include <algorithm>
+#include <cmath>
+
 namespace silverreach {
 namespace {
-constexpr unsigned char format_mark = 0xA7;
-constexpr std::size_t head_bytes = 9, use_bytes = 7, host_bytes = 3, check_bytes = 2;
+constexpr std::uint32_t format_mark = 0xA8, ask_mark = 1, given_mark = 2;
+constexpr std::size_t check_bytes = 2, ask_bytes = 20, given_bytes = 13;
+constexpr double sixteenths = 16;
+static_assert(1 + most_together * ask_bytes + check_bytes <= max_message_bytes);
 
 void put(std::string& out, std::uint32_t value, int bytes) {
     for (int i = 0; i < bytes; ++i) out.push_back(static_cast<char>((value >> (8 * i)) & 0xFF));
 }
+void put_units(std::string& out, double scaled) {
+    put(out, static_cast<std::uint32_t>(std::clamp(scaled, 0.0, 65535.0)), 2);
+}
+void put_message(std::string& out, const PartAsk& ask) {
+    put(out, ask_mark, 1);
+    put(out, ask.nonce, 4);
+    put(out, ask.customer, 4);
+    put(out, static_cast<std::uint32_t>(ask.plan), 1);
+    put(out, static_cast<std::uint32_t>(ask.set_size), 2);
+    put(out, static_cast<std::uint32_t>(ask.set_start), 2);
+    for (const double units : {ask.need, ask.extra, ask.hard}) put_units(out, std::ceil(units * sixteenths));
+}
+void put_message(std::string& out, const PartGiven& given) {
+    put(out, given_mark, 1);
+    put(out, given.nonce, 4);
+    put_units(out, given.units * sixteenths);
+    put_units(out, given.hard * sixteenths);
+    put(out, std::min<std::uint32_t>(given.wait_ms, 65535), 2);
+    put_units(out, given.demand * sixteenths);
+}
 
 std::uint32_t take(std::string_view& in, int bytes) {
     std::uint32_t value = 0;
@@ -15,12 +40,30 @@
     in.remove_prefix(bytes);
     return value;
 }
-}  // namespace
+double take_units(std::string_view& in) { return take(in, 2) / sixteenths; }
 
-std::size_t uses_that_fit(std::size_t hosts) {
-    const std::size_t taken = head_bytes + check_bytes + hosts * host_bytes;
-    return taken >= max_message_bytes ? 0 : (max_message_bytes - taken) / use_bytes;
+PartAsk take_ask(std::string_view& in) {
+    PartAsk ask;
+    ask.nonce = take(in, 4);
+    ask.customer = take(in, 4);
+    ask.plan = static_cast<int>(take(in, 1));
+    ask.set_size = static_cast<int>(take(in, 2));
+    ask.set_start = static_cast<int>(take(in, 2));
+    ask.need = take_units(in);
+    ask.extra = take_units(in);
+    ask.hard = take_units(in);
+    return ask;
 }
+PartGiven take_given(std::string_view& in) {
+    PartGiven given;
+    given.nonce = take(in, 4);
+    given.units = take_units(in);
+    given.hard = take_units(in);
+    given.wait_ms = take(in, 2);
+    given.demand = take_units(in);
+    return given;
+}
+}  // namespace
 
 std::uint32_t name_hash(std::string_view name) {
     std::uint32_t h = 2166136261u;  // FNV-1a
@@ -28,45 +71,29 @@
     return h;
 }
 
-std::string pack(const PeerNews& news) {
+std::string pack(const std::vector<PeerMessage>& messages) {
     std::string out;
     put(out, format_mark, 1);
-    put(out, news.life, 4);
-    put(out, news.sequence, 2);
-    put(out, static_cast<std::uint32_t>(news.uses.size()), 1);
-    put(out, static_cast<std::uint32_t>(news.hosts.size()), 1);
-    for (const PeerUse& use : news.uses) {
-        put(out, use.customer, 4);
-        put(out, use.total % total_modulus, 3);
-    }
-    for (const PeerOutstanding& host : news.hosts) {
-        put(out, host.host, 2);
-        put(out, host.count, 1);
-    }
+    for (std::size_t i = 0; i < std::min(messages.size(), most_together); ++i)
+        std::visit([&](const auto& m) { put_message(out, m); }, messages[i]);
     put(out, name_hash(out), check_bytes);
     return out;
 }
 
-std::optional<PeerNews> unpack(std::string_view in) {
-    if (in.size() < head_bytes + check_bytes || in.size() > max_message_bytes) return std::nullopt;
+std::optional<std::vector<PeerMessage>> unpack(std::string_view in) {
+    if (in.size() < 1 + check_bytes || in.size() > max_message_bytes) return std::nullopt;
     std::string_view tail = in.substr(in.size() - check_bytes);
     in.remove_suffix(check_bytes);
-    if (take(tail, check_bytes) != (name_hash(in) & 0xFFFF)) return std::nullopt;
-    if (take(in, 1) != format_mark) return std::nullopt;
-    PeerNews news;
-    news.life = take(in, 4);
-    news.sequence = static_cast<std::uint16_t>(take(in, 2));
-    const std::size_t uses = take(in, 1), hosts = take(in, 1);
-    if (in.size() != uses * use_bytes + hosts * host_bytes) return std::nullopt;
-    for (std::size_t i = 0; i < uses; ++i) {
-        const std::uint32_t customer = take(in, 4);
-        news.uses.push_back({customer, take(in, 3)});
-    }
-    for (std::size_t i = 0; i < hosts; ++i) {
-        const auto host = static_cast<std::uint16_t>(take(in, 2));
-        news.hosts.push_back({host, static_cast<std::uint8_t>(take(in, 1))});
+    if (take(tail, check_bytes) != (name_hash(in) & 0xFFFF) || take(in, 1) != format_mark)
+        return std::nullopt;
+    std::vector<PeerMessage> messages;
+    while (!in.empty()) {
+        const std::uint32_t mark = take(in, 1);
+        if (mark == ask_mark && in.size() >= ask_bytes - 1) messages.push_back(take_ask(in));
+        else if (mark == given_mark && in.size() >= given_bytes - 1) messages.push_back(take_given(in));
+        else return std::nullopt;
     }
-    return news;
+    return messages;
 }
 
 }  // namespace silverreach
