A fresh probe decides where a gateway sees few answers of a host

A host that a fresh probe finds without a queue now takes a request whatever the limits learned, nothing goes unprobed where answers are few, a waiting request looks again.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -56,9 +56,10 @@
 constexpr double own_view = 2;  // attempts out by which the own view of a host's load outweighs the mean
 
 constexpr std::size_t sampled = 12;     // hosts looked at for a request
-constexpr double known_answers = 30;    // answers of a host in the memory that spare a probe
+constexpr double known_answers = 10;    // answers of a host in the memory that spare a probe
 constexpr Micros report_valid = 250ms;  // a host's own word on its load is believed this long
 constexpr Micros probe_due = 40ms;      // the better of two hosts is waited for this long
+constexpr Micros wait_again = 100ms;    // a waiting request looks for a host anew this often
 constexpr int probe_rounds = 2;         // pairs of hosts probed for one request
 constexpr Micros probe_pause = 250ms;   // a host that fails a probe is left alone this long
 
@@ -486,7 +487,8 @@
             std::swap(order_[i], order_[i + random_() % (order_.size() - i)]);
             Host& h = *order_[i];
             if (h.ejections > 0 && h.failures > 0 && h.out > 0) continue;  // one trial at a time
-            if (!takes(h) || !in_group(q, h)) continue;
+            if (h.entry.state != HostState::up || now_ < h.blocked_until || !in_group(q, h)) continue;
+            if (known(h) && held(h) >= limit(h)) continue;
             ++seen;
             const bool cold = capacity_share(h) < 1 && warm_ > 0;
             if (cold && cold_turn(h, q.ask.units)) return {&h};
@@ -507,10 +509,8 @@
     bool try_send(Request& q) {
         q.pair = pick(q);
         if (q.pair.empty()) return false;
-        if (q.rounds >= probe_rounds || !s_.may_probe || knows(*q.pair.front())) {
-            send_to(q, *q.pair.front());
-            return true;
-        }
+        if (known(*q.pair.front())) return send_to(q, *q.pair.front()), true;
+        if (q.rounds >= probe_rounds) return false;
         ++q.rounds;
         q.held = q.waiting = false;
         q.probing = true;
@@ -522,12 +522,14 @@
         timer(probe_due, q.ask.id, TimerKind::probe);
         return true;
     }
-    bool knows(const Host& h) const {
-        return h.answers.value(now_, long_memory_s) >= known_answers ||
-               (h.reported_at > 0us && now_ - h.reported_at < report_valid);
+    bool known(const Host& h) const {
+        return !s_.may_probe || h.answers.value(now_, long_memory_s) >= known_answers;
     }
+    // By a fresh word of its own a host has room while nothing queues there, whatever the limits learned.
     bool takes(const Host& h) const {
-        return h.entry.state == HostState::up && now_ >= h.blocked_until && held(h) < limit(h);
+        const bool fresh = h.reported_at > 0us && now_ - h.reported_at < report_valid;
+        return h.entry.state == HostState::up && now_ >= h.blocked_until && (fresh || known(h)) &&
+               ((fresh && h.idle) || held(h) < limit(h));
     }
 
     void on(const ProbeEnded& e) {
@@ -555,11 +557,11 @@
     }
     // The probes are in, or waited for long enough: the better of those that answered.
     void choose(Request& q) {
-        q.probing = false;
         Host* best = nullptr;
         for (Host* h : q.pair)
-            if (takes(*h) && knows(*h) && (!best || cost(*h) < cost(*best))) best = h;
+            if (takes(*h) && (!best || cost(*h) < cost(*best))) best = h;
         if (best && now_ <= q.latest_start) return send_to(q, *best);
+        q.probing = false;
         dispatch(q);
     }
 
@@ -591,9 +593,8 @@
         q.held = false;
         if (now_ <= q.latest_start && try_send(q)) return;
         if (now_ >= q.latest_start) return finish(q);
-        q.waiting = true;
-        waiting_.push_back(q.ask.id);
-        timer(q.latest_start - now_, q.ask.id, TimerKind::expiry);
+        if (!std::exchange(q.waiting, true)) waiting_.push_back(q.ask.id);
+        timer(std::min(wait_again, q.latest_start - now_), q.ask.id, TimerKind::expiry);
         // Of more that wait than hosts could soon take, the oldest is answered now, so that its client can
         // come again in time. Guards against a line that only ages; harms if many places come free at once.
         if (static_cast<double>(waiting_.size()) <= waiting_for_each_host * order_.size() + 1) return;
@@ -609,10 +610,7 @@
         for (std::size_t i = waiting_.size(); i-- > 0;) {
             const auto it = requests_.find(waiting_[i]);
             const bool waits = it != requests_.end() && it->second.waiting;
-            if (waits && !(now_ <= it->second.latest_start && try_send(it->second))) {
-                if (!it->second.maybe_ran) return;
-                continue;
-            }
+            if (waits && !(now_ <= it->second.latest_start && try_send(it->second))) continue;
             waiting_.erase(waiting_.begin() + static_cast<std::ptrdiff_t>(i));
         }
     }
@@ -868,7 +866,7 @@
         Request& q = it->second;
         if (kind == TimerKind::deadline) finish(q);
         else if (kind == TimerKind::release && q.held) dispatch(q);
-        else if (kind == TimerKind::expiry && q.waiting && now_ >= q.latest_start) finish(q);
+        else if (kind == TimerKind::expiry && q.waiting) q.rounds = 0, dispatch(q);
         else if (kind == TimerKind::check) check(q);
         else if (kind == TimerKind::probe && q.probing) choose(q);
         pump();
