Own attempts out held to the gateway's part of what the fleet takes; refusals and time-outs among fast answers are no sign of load

A window on own attempts, learned like the limits, bounds the sum; a part below one is a chance, and two deviations of slack let a gateway's bursts pass, as they even out in sum.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -59,6 +59,7 @@
 constexpr double known_answers = 10;    // answers of a host in the memory that spare a probe
 constexpr Micros report_valid = 250ms;  // a host's own word on its load is believed this long
 constexpr Micros probe_due = 40ms;      // the better of two hosts is waited for this long
+constexpr double window_slack = 2;      // deviations of own attempts out that pass; they even out in sum
 constexpr Micros wait_again = 100ms;    // a waiting request looks for a host anew this often
 constexpr int probe_rounds = 2;         // pairs of hosts probed for one request
 constexpr Micros probe_pause = 250ms;   // a host that fails a probe is left alone this long
@@ -150,18 +151,17 @@
     Fading answers;       // seen here lately
     double answer_s = 0;  // mean answer time; 0: none seen
     int failures = 0, ejections = 0;
-    Micros looked_at{0}, reported_at{0};  // when last considered while cold, when it told of itself
-    double reported = -1;                 // requests it holds by its own word
-    bool idle = false;                    // nothing queues there, by its own word
-    std::vector<RequestId> probed_for;    // those that wait for the probe that is out
+    Micros looked_at{0}, reported_at{0};    // when last considered while cold, when it told of itself
+    double reported = -1;                   // requests it holds by its own word
+    bool idle = false, tells_held = false;  // by its own word: nothing queues there, what it holds
+    std::vector<RequestId> probed_for;      // those that wait for the probe that is out
 };
 
 struct Request {
     RequestArrived ask;
     Customer* customer = nullptr;
     Micros deadline{0}, latest_start{0};
-    bool in_quota = true, admitted = false, sent = false, held = false, waiting = false, probing = false,
-         maybe_ran = false;
+    bool in_quota = true, admitted = false, sent = false, waiting = false, probing = false, maybe_ran = false;
     int attempts = 0, out = 0, rounds = 0, probes_out = 0;
     std::vector<Host*> pair;
     Micros last_sent{0}, first_maybe{0};
@@ -269,11 +269,6 @@
         return given;
     }
 
-    bool silent(int rank) const {
-        const auto it = peers_.find(rank);
-        return it != peers_.end() && it->second.lost >= silent_after && now_ < it->second.silent_until;
-    }
-
     // Asks for what the first request in line lacks: the home, else its successors, else the even slice.
     void obtain(Customer& c) {
         while (!c.asking.empty() && !requests_.count(c.asking.front())) c.asking.pop_front();
@@ -284,7 +279,9 @@
         for (int place = 0; place < homes && c.tries < asks_most; ++place) {
             const int to = home(c.hash, c.set_start, c.set_size, place);
             if (to == s_.rank) return receive(c, give(ask, s_.rank));
-            if (!s_.may_message || silent(to)) continue;
+            const auto peer = peers_.find(to);
+            const bool silent = peer != peers_.end() && now_ < peer->second.silent_until;
+            if (!s_.may_message || silent) continue;
             c.nonce = std::exchange(next_nonce_, next_nonce_ + 2);
             asks_[c.nonce] = {&c, to, now_};
             ++c.tries;
@@ -296,18 +293,17 @@
             if (const auto it = requests_.find(id); it != requests_.end()) from_even_slice(it->second);
     }
 
-    // No home answers: the even slice of the quota decides, one request at least at once. Guards against lost
-    // messages and dead homes; over-commit is bounded by a request for each gateway of the set.
+    // No home answers: the even slice of the quota decides, one request at once. Guards against lost messages
+    // and dead homes; over-commit is bounded by a request for each gateway of the set.
     void from_even_slice(Request& q) {
         Customer& c = *q.customer;
         const Plan& p = *plan_of(c);
-        const double k = q.ask.units, even_rate = p.rate / c.set_size;
-        const Micros ahead = micros(std::max(0.0, p.burst / c.set_size - k) / std::max(even_rate, 1e-9));
-        const Micros wait = c.even_at - ahead - now_;
+        const double k = q.ask.units;
+        const Micros wait = c.even_at - now_;
         if (hard_lack(c, k) > 0) return deny(q, micros(hard_lack(c, k) / even_hard(c, p.hard_rate)));
         if (lack(c, k) > 0) {
             if (wait > 0us) return deny(q, wait);
-            c.even_at = std::max(c.even_at, now_) + micros(k / std::max(even_rate, 1e-9));
+            c.even_at = std::max(c.even_at, now_) + micros(k * c.set_size / std::max(p.rate, 1e-9));
             c.level += lack(c, k);
         }
         admit(q);
@@ -406,21 +402,11 @@
         if (p && p->rate > 0 && q.in_quota) c.level -= k;
         if (p && p->hard_rate > 0) c.hard_reserved += k;
         if (wait <= 0us) return dispatch(q);
-        q.held = true;
         timer(wait, q.ask.id, TimerKind::release);
     }
 
     Micros advice(Micros wait) const { return s_.may_advise_retry ? wait : 0us; }
 
-    // A request that was admitted but never sent gives its units back.
-    void give_back(Request& q) {
-        Customer& c = *q.customer;
-        const Plan* p = plan_of(c);
-        if (!p || q.sent || !q.admitted) return;
-        if (q.in_quota && p->rate > 0) c.level += q.ask.units;
-        if (p->hard_rate > 0) c.hard_reserved -= q.ask.units;
-    }
-
     // ---- choice of a host -------------------------------------------------------------------------------
 
     double capacity_share(const Host& h) const {
@@ -429,22 +415,20 @@
         return age >= 1 ? 1 : s_.start_capacity + (1 - s_.start_capacity) * std::max(0.0, age);
     }
 
-    // A cold host gets the even share of what warm hosts get from here, scaled to the capacity it surely has,
-    // as a chance: the part of a request come due since it was last considered. In sum over all gateways the
-    // share holds however few requests each has. Guards against herds on fresh hosts, by first sends and
-    // retries alike; harms where requests cost far more than their units say.
+    // A cold host gets the even share of warm ones, scaled to the capacity it surely has, as a chance: the
+    // part of a request come due since it was last considered. In sum over all gateways the share holds.
+    // Guards against herds on fresh hosts, retries too; harms where requests cost far more than their units
+    // say.
     bool cold_turn(Host& h, double units) {
         const double rate =
             cold_caution * std::min(1.0, s_.fall_multiple / 2) * capacity_share(h) * warm_rate_;
-        const double due = rate * seconds(std::min(now_ - h.looked_at, cold_chance_most));
-        h.looked_at = now_;
-        return uniform() * std::max(units, 1e-3) < due;
+        const Micros span = std::min(now_ - std::exchange(h.looked_at, now_), cold_chance_most);
+        return uniform() * std::max(units, 1e-3) < rate * seconds(span);
     }
     double uniform() { return static_cast<double>(random_() >> 11) * 0x1p-53; }
 
     // Attempts out at a host by all gateways: own ones, and for each other gateway the mean of own attempts,
-    // moved to what is out here as far as own attempts are many enough to tell. One rule from two gateways to
-    // hundreds.
+    // moved to what is out here as far as own attempts can tell. One rule from two gateways to hundreds.
     double load(const Host& h) const {
         const double own = h.out, hosts = static_cast<double>(std::max<std::size_t>(1, order_.size()));
         const double mean = work_out_.value(now_, warm_memory_s) / (warm_memory_s * hosts);  // Little's law
@@ -510,9 +494,9 @@
         q.pair = pick(q);
         if (q.pair.empty()) return false;
         if (known(*q.pair.front())) return send_to(q, *q.pair.front()), true;
-        if (q.rounds >= probe_rounds) return false;
+        if (q.rounds >= probe_rounds || !window_open()) return q.rounds = probe_rounds, false;
         ++q.rounds;
-        q.held = q.waiting = false;
+        q.waiting = false;
         q.probing = true;
         q.probes_out = static_cast<int>(q.pair.size());
         for (Host* h : q.pair) {
@@ -522,6 +506,14 @@
         timer(probe_due, q.ask.id, TimerKind::probe);
         return true;
     }
+    // Own attempts out against this gateway's part of what the fleet takes; a part below one is a chance.
+    // Guards against hundreds of gateways that each see a host without a queue; harms where the others stand
+    // idle.
+    bool window_open() { return out_ + uniform() < window(); }
+    double window() const {
+        const double part = limit_ * static_cast<double>(order_.size()) / s_.instances;
+        return part + window_slack * std::sqrt(part);
+    }
     bool known(const Host& h) const {
         return !s_.may_probe || h.answers.value(now_, long_memory_s) >= known_answers;
     }
@@ -529,7 +521,7 @@
     bool takes(const Host& h) const {
         const bool fresh = h.reported_at > 0us && now_ - h.reported_at < report_valid;
         return h.entry.state == HostState::up && now_ >= h.blocked_until && (fresh || known(h)) &&
-               ((fresh && h.idle) || held(h) < limit(h));
+               ((fresh && h.idle && !h.tells_held) || held(h) < limit(h));
     }
 
     void on(const ProbeEnded& e) {
@@ -551,7 +543,7 @@
         pump();
     }
     void note_report(Host& h, const LoadReport& r) {
-        h.reported_at = now_;
+        h.reported_at = now_, h.tells_held = r.outstanding >= 0;
         h.idle = r.queued < 0.5;  // also where the site's hosts tell nothing: the first to answer is taken
         h.reported = r.outstanding >= 0 ? r.outstanding : r.queued >= 0 ? r.queued + load(h) : -1;
     }
@@ -574,11 +566,12 @@
         }
         if (!q.sent) retry_earned_.add(1, now_, long_memory_s);
         q.sent = true;
-        q.held = q.waiting = q.probing = false, q.rounds = 0;
+        q.waiting = q.probing = false, q.rounds = 0;
         ++q.attempts, ++q.out, ++c.open;
         q.last_host = h.entry.host, q.last_sent = now_;
         if (h.reported >= 0) ++h.reported;
         if (h.out++ == 0) h.last_answer = now_;
+        ++out_;
         mean_units_ += answer_weight * (q.ask.units - mean_units_);
         if (capacity_share(h) >= 1) warm_sent_.add(q.ask.units, now_, warm_memory_s);
         const double over = static_cast<double>(2 * warm_ >= order_.size() ? warm_ : order_.size()) + 1;
@@ -590,7 +583,6 @@
     }
 
     void dispatch(Request& q) {
-        q.held = false;
         if (now_ <= q.latest_start && try_send(q)) return;
         if (now_ >= q.latest_start) return finish(q);
         if (!std::exchange(q.waiting, true)) waiting_.push_back(q.ask.id);
@@ -625,8 +617,12 @@
         forget(q);
     }
     void forget(Request& q) {
-        give_back(q);
-        --q.customer->requests;
+        Customer& c = *q.customer;
+        if (const Plan* p = plan_of(c); p && q.admitted && !q.sent) {  // gives its units back
+            if (q.in_quota && p->rate > 0) c.level += q.ask.units;
+            if (p->hard_rate > 0) c.hard_reserved -= q.ask.units;
+        }
+        --c.requests;
         requests_.erase(q.ask.id);
     }
 
@@ -646,17 +642,18 @@
         // silent all along. Guards against clients of little patience and costly requests putting good hosts
         // out.
         const bool late = a.outcome == Outcome::timeout, silent = late && h.last_answer + a.took < now_;
-        const bool bad = a.outcome == Outcome::full || (late && took > limit_slow_part * aim_s);
+        // Refusals and time-outs among fast answers tell of one kind of request, not of load.
+        const bool loaded = answer_s_ > limit_slow_part * aim_s;
+        const bool bad = loaded && (a.outcome == Outcome::full || (late && took > limit_slow_part * aim_s));
         h.answers.add(1, now_, long_memory_s);
-        const bool near = load(h) + 2 > limit(h);
-        if (bad || (good && took > limit_slow_part * aim_s)) {
-            limit_ = std::max(limit_least, limit_ * limit_cut);
-            h.out_limit = std::max(limit_least, h.out_limit * limit_cut);
-        } else if (good && near) {
-            limit_ = std::min(limit_most, limit_ + limit_growth / limit_);
-            h.out_limit = std::min(limit_most, h.out_limit + limit_growth / h.out_limit);
-        }
-        if (good || late || bad) {
+        const bool cut = bad || (good && took > limit_slow_part * aim_s);
+        const auto learn = [&](double& most, bool near) {
+            if (cut) most = std::max(limit_least, most * limit_cut);
+            else if (good && near) most = std::min(limit_most, most + limit_growth / most);
+        };
+        learn(h.out_limit, load(h) + 2 > limit(h));
+        learn(limit_, 2 * (out_ + 1) > window());
+        if (good || bad) {
             const bool slow = a.outcome == Outcome::full || took > slow_part * aim_s;
             slow_share_ += slow_weight * (slow - slow_share_);
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
@@ -677,7 +674,7 @@
         const auto host = hosts_.find(a.host);
         const auto found = requests_.find(a.id);
         if (host != hosts_.end()) {
-            host->second.out = std::max(0, host->second.out - 1);
+            if (host->second.out > 0) --host->second.out, --out_;
             work_out_.add(seconds(a.took), now_, warm_memory_s);
             const double aim =
                 found == requests_.end() ? aim_s() : seconds(s_.classes[found->second.ask.request_class].aim);
@@ -783,7 +780,7 @@
         const auto messages = unpack(m.bytes);
         if (!messages) return;
         Peer& peer = peers_[m.from];
-        peer.lost = 0;
+        peer.lost = 0, peer.silent_until = 0us;
         if (now_ - heard_since_ >= silent_for) heard_before_ = std::exchange(heard_, 0), heard_since_ = now_;
         if (peer.heard < heard_since_) ++heard_;
         peer.heard = now_;
@@ -865,7 +862,7 @@
         if (it == requests_.end()) return pump();
         Request& q = it->second;
         if (kind == TimerKind::deadline) finish(q);
-        else if (kind == TimerKind::release && q.held) dispatch(q);
+        else if (kind == TimerKind::release) dispatch(q);
         else if (kind == TimerKind::expiry && q.waiting) q.rounds = 0, dispatch(q);
         else if (kind == TimerKind::check) check(q);
         else if (kind == TimerKind::probe && q.probing) choose(q);
@@ -903,6 +900,7 @@
     Fading warm_sent_, work_out_, retry_earned_, retry_spent_;
     double answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0, limit_ = limit_start;
     bool pressed_ = false;
+    int out_ = 0;  // own attempts out
 };
 
 Gateway::Gateway(Settings settings, std::uint64_t seed, Micros now)
