A gateway keeps to a stable 32 hosts; nothing is judged by an own stall's backlog

Each gateway now has an order of hosts of its own and uses the first that take its requests. Own stalls are told by a late beat.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -31,6 +31,7 @@
 constexpr int silent_after = 2;           // asks lost in a row that make a peer count as silent
 constexpr Micros silent_for = 1s;         // it is then passed over this long
 constexpr double wait_stretch_most = 8;   // told waits grow with the demand over the quota, up to this
+constexpr Micros beat_period = 100ms, stall_after = 300ms;  // of a timer that tells own stalls
 constexpr Micros idle_after = 60s, sweep_period = 5s;  // idle customers age out; how often that is looked at
 constexpr double slow_part = 0.5;     // an answer slower than this part of its aim counts as slow
 constexpr double slow_weight = 0.04;  // weight of one answer in the slow share
@@ -55,16 +56,16 @@
 constexpr double warm_memory_s = 5;      // memory of the rate that warm hosts carry
 constexpr double own_view = 2;  // attempts out by which the own view of a host's load outweighs the mean
 
-constexpr std::size_t sampled = 12;     // hosts looked at for a request
-constexpr double known_answers = 10;    // answers of a host in the memory that spare a probe
-constexpr Micros report_valid = 250ms;  // a host's own word on its load is believed this long
-constexpr Micros probe_due = 40ms;      // the better of two hosts is waited for this long
-constexpr double window_slack = 2;      // deviations of own attempts out that pass; they even out in sum
-constexpr Micros wait_again = 100ms;    // a waiting request looks for a host anew this often
-constexpr int probe_rounds = 2;         // pairs of hosts probed for one request
-constexpr Micros probe_pause = 250ms;   // a host that fails a probe is left alone this long
+constexpr std::size_t sampled = 12, kept = 32;  // hosts looked at for a request, out of those used at all
+constexpr double known_answers = 10;            // answers of a host in the memory that spare a probe
+constexpr Micros report_valid = 250ms;          // a host's own word on its load is believed this long
+constexpr Micros probe_due = 40ms;              // the better of two hosts is waited for this long
+constexpr double window_slack = 2;     // deviations of own attempts out that pass; they even out in sum
+constexpr Micros wait_again = 100ms;   // a waiting request looks for a host anew this often
+constexpr int probe_rounds = 2;        // pairs of hosts probed for one request
+constexpr Micros probe_pause = 250ms;  // a host that fails a probe is left alone this long
 
-enum class TimerKind : std::uint64_t { deadline, release, check, expiry, part, probe, flush, sweep };
+enum class TimerKind : std::uint64_t { deadline, release, check, expiry, part, probe, flush, beat };
 constexpr std::uint64_t timer_kinds = 8;
 
 double seconds(Micros t) { return static_cast<double>(t.count()) / 1e6; }
@@ -145,7 +146,8 @@
 
 struct Host {
     HostEntry entry;
-    int out = 0;  // own attempts out
+    int out = 0;              // own attempts out
+    std::uint32_t place = 0;  // in this gateway's order
     double out_limit = limit_start;
     Micros last_answer{0}, blocked_until{0};
     Fading answers;       // seen here lately
@@ -191,7 +193,7 @@
     void handle(Micros now, const Event& event, Actions& actions) {
         now_ = now;
         actions_ = &actions;
-        if (!std::exchange(started_, true)) timer(sweep_period, 0, TimerKind::sweep);
+        if (last_beat_ == 0us) beat();
         std::visit([this](const auto& e) { on(e); }, event);
     }
 
@@ -215,9 +217,7 @@
     }
 
     // The even part of the ceiling, of what its home does not own.
-    double even_hard(const Customer& c, double figure) const {
-        return figure * (1 - home_hard_part) / c.set_size;
-    }
+    double even_hard(const Customer& c, double of) const { return of * (1 - home_hard_part) / c.set_size; }
     void touch(Customer& c) {
         const double dt = seconds(now_ - std::exchange(c.touched, now_));
         if (const Plan* p = plan_of(c); p && p->hard_rate > 0)
@@ -233,15 +233,14 @@
         c.set_size = std::max(c.set_size, std::clamp(r.set_size, 1, s_.instances));
         c.set_start = ((r.set_start % s_.instances) + s_.instances) % s_.instances;
         c.last_use = now_;
-        touch(c);
-        return c;
+        return touch(c), c;
     }
 
     // ---- the ledger of customers whose home is here ----------------------------------------------------
 
-    // Gives a part: what is needed or nothing, and at most half of the rest on top. It is taken off first, so
-    // parts lost on the way are lost and none counts twice. Extends the slice where a gateway's part is below
-    // one request; harms by a burst at most for each home that restarts.
+    // Gives a part: what is needed or nothing, and at most half of the rest on top, taken off first, so that
+    // parts lost on the way are lost and none counts twice. Acts where the slice held here does not cover a
+    // request; harms by a burst at most for each home that restarts.
     PartGiven give(const PartAsk& ask, int from) {
         const Plan& p = s_.plans[ask.plan];
         auto [it, fresh] = ledgers_.try_emplace(ask.customer);
@@ -378,7 +377,8 @@
         timer(r.time_left - 2 * s_.tick, r.id, TimerKind::deadline);
         const Plan* p = plan_of(c);
         if (!p || (lack(c, k) <= 0 && hard_lack(c, k) <= 0)) return admit(kept);
-        if (p->max_open > 0 && c.open >= std::max(1, static_cast<int>(p->max_open * share(c) + 0.5)))
+        const double open = p->max_open * share(c);
+        if (p->max_open > 0 && c.open >= std::max(1.0, std::round(open)))
             return deny(kept, micros(answer_s_));
         if (now_ < c.dry_until && k >= c.dry_need) return deny(kept, c.dry_until - now_);
         c.asking.push_back(r.id);
@@ -417,8 +417,7 @@
 
     // A cold host gets the even share of warm ones, scaled to the capacity it surely has, as a chance: the
     // part of a request come due since it was last considered. In sum over all gateways the share holds.
-    // Guards against herds on fresh hosts, retries too; harms where requests cost far more than their units
-    // say.
+    // Guards against herds on fresh hosts, retries too; harms where requests cost more than their units say.
     bool cold_turn(Host& h, double units) {
         const double rate =
             cold_caution * std::min(1.0, s_.fall_multiple / 2) * capacity_share(h) * warm_rate_;
@@ -463,12 +462,13 @@
         return (held(h) + 1) * answer / (std::max(h.entry.weight, 1e-3) * capacity_share(h));
     }
 
-    // The best two of a sample of the hosts that could take it.
+    // The best two of the first hosts in this gateway's own order that could take it. A stable few, so that
+    // hundreds of gateways do not fill every host's connections, and each learns more of those it uses.
     std::vector<Host*> pick(const Request& q) {
         std::pair<double, Host*> best{0, nullptr}, second{0, nullptr};
         std::size_t seen = 0;
         for (std::size_t i = 0; i < order_.size() && seen < sampled; ++i) {
-            std::swap(order_[i], order_[i + random_() % (order_.size() - i)]);
+            if (i < kept) std::swap(order_[i], order_[i + random_() % (std::min(kept, order_.size()) - i)]);
             Host& h = *order_[i];
             if (h.ejections > 0 && h.failures > 0 && h.out > 0) continue;  // one trial at a time
             if (h.entry.state != HostState::up || now_ < h.blocked_until || !in_group(q, h)) continue;
@@ -496,8 +496,7 @@
         if (known(*q.pair.front())) return send_to(q, *q.pair.front()), true;
         if (q.rounds >= probe_rounds || !window_open()) return q.rounds = probe_rounds, false;
         ++q.rounds;
-        q.waiting = false;
-        q.probing = true;
+        q.waiting = false, q.probing = true;
         q.probes_out = static_cast<int>(q.pair.size());
         for (Host* h : q.pair) {
             h->probed_for.push_back(q.ask.id);
@@ -507,8 +506,7 @@
         return true;
     }
     // Own attempts out against this gateway's part of what the fleet takes; a part below one is a chance.
-    // Guards against hundreds of gateways that each see a host without a queue; harms where the others stand
-    // idle.
+    // Guards against hundreds that each see a host without a queue; harms where the others stand idle.
     bool window_open() { return out_ + uniform() < window(); }
     double window() const {
         const double part = limit_ * static_cast<double>(order_.size()) / s_.instances;
@@ -574,7 +572,8 @@
         ++out_;
         mean_units_ += answer_weight * (q.ask.units - mean_units_);
         if (capacity_share(h) >= 1) warm_sent_.add(q.ask.units, now_, warm_memory_s);
-        const double over = static_cast<double>(2 * warm_ >= order_.size() ? warm_ : order_.size()) + 1;
+        const std::size_t among = 2 * warm_ >= order_.size() ? warm_ : order_.size();
+        const double over = static_cast<double>(std::min(among, kept)) + 1;
         warm_rate_ = warm_sent_.value(now_, warm_memory_s) / (warm_memory_s * over);
         actions_->push_back(SendAttempt{q.ask.id, h.entry.host, std::max(q.deadline - now_, 1us)});
         const double aim = seconds(s_.classes[q.ask.request_class].aim);
@@ -595,9 +594,8 @@
         if (it != requests_.end() && it->second.waiting) finish(it->second);
     }
 
-    // Lets waiting requests go while hosts have room, newest first: served in order, every request would
-    // leave at its last moment. Guards against any lasting shortage of hosts; harms the few that wait in a
-    // short one.
+    // Lets waiting requests go while hosts have room, newest first: in order, all would leave at their last
+    // moment. Guards against any lasting shortage of hosts; harms the few that wait in a short one.
     void pump() {
         for (std::size_t i = waiting_.size(); i-- > 0;) {
             const auto it = requests_.find(waiting_[i]);
@@ -631,16 +629,14 @@
     void judge(Host& h, const AttemptEnded& a, double aim_s) {
         const bool good = a.outcome == Outcome::good;
         const double took = seconds(a.took);
-        if (good || a.outcome == Outcome::error) h.last_answer = now_;
         if (good) {
             h.failures = h.ejections = 0;
             h.answer_s = h.answer_s > 0 ? h.answer_s + answer_weight * (took - h.answer_s)
                                         : (answer_s_ > 0 ? 0.8 * answer_s_ + 0.2 * took : took);
             answer_s_ = answer_s_ > 0 ? answer_s_ + answer_weight * (took - answer_s_) : took;
         }
-        // A time-out counts as slow or bad by its length, and as the host's failure only if the host was
-        // silent all along. Guards against clients of little patience and costly requests putting good hosts
-        // out.
+        // A time-out counts as slow or bad by its length, and as the host's failure only if that was silent
+        // all along. Guards against clients of little patience and costly requests putting good hosts out.
         const bool late = a.outcome == Outcome::timeout, silent = late && h.last_answer + a.took < now_;
         // Refusals and time-outs among fast answers tell of one kind of request, not of load.
         const bool loaded = answer_s_ > limit_slow_part * aim_s;
@@ -659,7 +655,6 @@
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
         if (a.outcome == Outcome::full) h.blocked_until = std::max(h.blocked_until, now_ + full_pause);
-        // Ejection: meets any run of failures, fast or slow. Harms if all hosts fail for one client's sake.
         if (a.outcome == Outcome::error || silent) fail(h, 1);
         if (a.outcome == Outcome::connect_failed || a.outcome == Outcome::reset) fail(h, eject_after);
     }
@@ -679,7 +674,8 @@
             const double aim =
                 found == requests_.end() ? aim_s() : seconds(s_.classes[found->second.ask.request_class].aim);
             if (a.report.queued >= 0 || a.report.outstanding >= 0) note_report(host->second, a.report);
-            judge(host->second, a, aim);
+            if (a.outcome == Outcome::good || a.outcome == Outcome::error) host->second.last_answer = now_;
+            if (!stalled()) judge(host->second, a, aim);
         }
         if (found != requests_.end()) {
             Request& q = found->second;
@@ -720,10 +716,11 @@
     }
 
     // Expected answers missing under an attempt, whatever the cause: a second copy, or where none may be out
-    // a cancel, and the host is ejected. Guards against silent death, cut links and stalls; harms when a slow
-    // request is alone on a host (then the evidence needs longer).
+    // a cancel, and the host is ejected. Guards against silent death, cut links, stalls; harms a slow lone
+    // request.
     void check(Request& q) {
         if (q.out == 0 || q.waiting) return;
+        if (stalled()) return timer(beat_period, q.ask.id, TimerKind::check);
         const auto it = hosts_.find(q.last_host);
         if (it == hosts_.end()) return;
         Host& h = it->second;
@@ -768,8 +765,11 @@
         warm_ = 0;
         for (auto& [name, h] : hosts_) {
             order_.push_back(&h);
+            h.place = name_hash(name + ' ' + std::to_string(s_.rank));
             warm_ += h.entry.state == HostState::up && capacity_share(h) >= 1;
         }
+        const auto before = [](const Host* a, const Host* b) { return a->place < b->place; };
+        std::stable_sort(order_.begin(), order_.end(), before);
         for (auto& [id, q] : requests_) q.pair.clear();  // a host may be gone
     }
 
@@ -782,8 +782,7 @@
         Peer& peer = peers_[m.from];
         peer.lost = 0, peer.silent_until = 0us;
         if (now_ - heard_since_ >= silent_for) heard_before_ = std::exchange(heard_, 0), heard_since_ = now_;
-        if (peer.heard < heard_since_) ++heard_;
-        peer.heard = now_;
+        if (std::exchange(peer.heard, now_) < heard_since_) ++heard_;
         for (const PeerMessage& message : *messages) {
             const auto* ask = std::get_if<PartAsk>(&message);
             if (!ask) take_part(m.from, std::get<PartGiven>(message));
@@ -818,18 +817,16 @@
     void take_part(int from, PartGiven given) {
         const auto it = asks_.find(given.nonce);
         if (it == asks_.end() || it->second.to != from) return;
-        // Held up by an own stall: the ceiling's store has long been refilled for the giver.
-        if (now_ - it->second.sent > 2 * answer_due) given.hard = 0;
+        if (now_ - it->second.sent > 2 * answer_due)
+            given.hard = 0;  // an own stall: the giver's part has refilled
         receive(close(it), given);
     }
 
-    // An ask unanswered in time: once more, then the next home. A timer that comes far too late tells of an
-    // own stall: the answer may lie in the backlog behind it, so nobody is blamed yet.
+    // An ask unanswered in time: once more, then the next home.
     void part_overdue(std::uint32_t nonce) {
         const auto it = asks_.find(nonce);
         if (it == asks_.end()) return;
-        if (now_ - std::exchange(it->second.sent, now_) > 2 * answer_due)
-            return timer(answer_due, nonce, TimerKind::part);
+        if (stalled()) return timer(answer_due, nonce, TimerKind::part);
         Peer& peer = peers_[it->second.to];
         if (++peer.lost >= silent_after) peer.silent_until = now_ + silent_for;
         obtain(close(it));
@@ -857,7 +854,7 @@
             if (peer != peers_.end()) peer->second.flushing = false, flush(peer->first, peer->second);
             return;
         }
-        if (kind == TimerKind::sweep && about == 0) return sweep();
+        if (kind == TimerKind::beat && about == 0) return beat();
         const auto it = requests_.find(about);
         if (it == requests_.end()) return pump();
         Request& q = it->second;
@@ -869,10 +866,16 @@
         pump();
     }
 
-    // Ages out idle customers; one that still has requests in hand stays.
-    void sweep() {
-        timer(sweep_period, 0, TimerKind::sweep);
-        list_hosts();
+    // A beat far too late tells of an own stall: in the backlog found with it waiting looks like others'
+    // silence and answers look slow, so nothing is judged by it. Harms where real silence falls into one.
+    bool stalled() const { return now_ == stalled_at_ || now_ - last_beat_ > stall_after; }
+    void beat() {
+        if (last_beat_ > 0us && stalled()) stalled_at_ = now_;
+        last_beat_ = now_;
+        timer(beat_period, 0, TimerKind::beat);
+        if (now_ - swept_at_ < sweep_period) return;
+        swept_at_ = now_;
+        list_hosts();  // and ages out who is idle; a customer that still has requests in hand stays
         std::erase_if(peers_, [this](const auto& p) { return now_ - p.second.tokens_at >= idle_after; });
         std::erase_if(ledgers_, [this](const auto& l) { return now_ - l.second.touched >= idle_after; });
         std::erase_if(customers_, [this](const auto& c) {
@@ -884,7 +887,7 @@
     std::mt19937_64 random_;
     Micros boot_, now_{0};
     Actions* actions_ = nullptr;
-    bool started_ = false;
+    Micros last_beat_{0}, stalled_at_{0}, swept_at_{0};
     std::uint32_t next_nonce_ = 1;
     int heard_ = 0, heard_before_ = 0;  // peers that spoke in this window and the one before
     Micros heard_since_{0};
@@ -895,7 +898,7 @@
     std::unordered_map<RequestId, Request> requests_;
     std::map<std::string, Host> hosts_;
     std::deque<RequestId> waiting_;
-    std::vector<Host*> order_;  // all hosts, shuffled as they are sampled
+    std::vector<Host*> order_;  // all hosts, in this gateway's own order
     std::size_t warm_ = 0;
     Fading warm_sent_, work_out_, retry_earned_, retry_spent_;
     double answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0, limit_ = limit_start;
