--- a/src/control.cpp
+++ b/src/control.cpp
@@ -278,9 +278,7 @@
         for (int place = 0; place < homes && c.tries < asks_most; ++place) {
             const int to = home(c.hash, c.set_start, c.set_size, place);
             if (to == s_.rank) return receive(c, give(ask, s_.rank));
-            const auto peer = peers_.find(to);
-            const bool silent = peer != peers_.end() && now_ < peer->second.silent_until;
-            if (!s_.may_message || silent) continue;
+            if (!s_.may_message || now_ < peers_[to].silent_until) continue;
             c.nonce = std::exchange(next_nonce_, next_nonce_ + 2);
             asks_[c.nonce] = {&c, to, now_};
             ++c.tries;
