What fast hosts turn away is kept by kind of request, and cold hosts get a part of what would fell them

Cause: a host that turns one plan away as full was left alone for all, its plan came back to it, and the budget of further attempts ran out. Told from load by fast answers. The record is one for each host and (class, plan), for 20 s, as a price: with all hosts dear the cheapest still serves. Nothing ran, so the further attempt is free among fast answers.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -20,21 +20,16 @@
 constexpr double cold_factor = 3;     // SmoothWarmingUp's coldInterval / stableInterval, by the design
 constexpr double use_memory_s = 2;    // memory of recent demand
 constexpr double part_ahead_s = 0.5;  // a part asked for covers this much of the demand seen here
-constexpr double start_part = 0.5;    // of the burst that a fresh home grants: a former one may have spent it
-constexpr double home_hard_part = 0.5;  // of the ceiling that its home owns; the rest lies in even parts
-constexpr int homes = 3;                // a customer's home and the successors asked where it is silent
-constexpr Micros answer_due = 150ms;    // an ask unanswered by then counts as lost
-constexpr int asks_most = 4;            // for one request; then the even slice decides
-constexpr double mail_share = 0.8;  // part of a peer's intake that gateways which talk now may fill together
-constexpr std::size_t outbox_most = 200;  // messages kept for one peer; more are dropped
-constexpr double mail_at_once = 3;        // messages to one peer at once; what comes faster goes out bundled
-constexpr int silent_after = 2;           // asks lost in a row that make a peer count as silent
-constexpr Micros silent_for = 1s;         // it is then passed over this long
-constexpr double wait_stretch_most = 8;   // told waits grow with the demand over the quota, up to this
+constexpr double start_part = 0.5, home_hard_part = 0.5;  // of the burst at start; the home's of a ceiling
+constexpr int homes = 3, asks_most = 4;  // a customer's home and successors; asks for one request
+constexpr Micros answer_due = 150ms;     // an ask unanswered by then counts as lost
+constexpr double mail_share = 0.8, mail_at_once = 3;  // of an intake, by those who talk; messages
+constexpr std::size_t outbox_most = 200;              // messages kept for one peer; more are dropped
+constexpr int silent_after = 2;                       // asks lost in a row that make a peer count as silent
+constexpr Micros silent_for = 1s;                     // it is then passed over this long
 constexpr Micros beat_period = 100ms, stall_after = 300ms;  // of a timer that tells own stalls
 constexpr Micros idle_after = 60s, sweep_period = 5s;  // idle customers age out; how often that is looked at
-constexpr double slow_part = 0.5;     // an answer slower than this part of its aim counts as slow
-constexpr double slow_weight = 0.04;  // weight of one answer in the slow share
+constexpr double slow_part = 0.5, slow_weight = 0.04;  // slow, as part of the aim; its weight
 constexpr double pressed_above = 0.25, relieved_below = 0.20;  // slow shares: looks pressed, no more
 constexpr double room_below = 0.08;            // slow share under which there is room for more than quotas
 constexpr double answer_weight = 0.05;         // weight of one answer in a host's and the fleet's answer time
@@ -47,15 +42,15 @@
 constexpr double limit_slow_part = 0.25;             // answer time as part of the aim that cuts the limit
 constexpr double silent_answers = 3.5;  // expected answers missing when silence is evidence (e^-3.5 = 3%)
 constexpr double check_earliest = 0.25, check_latest = 0.55;  // of the aim: silence is looked for
-constexpr int eject_after = 3;                                // failures in a row that eject a host
-constexpr Micros eject_first = 500ms, eject_most = 8s;        // first ejection, doubled with each further one
-constexpr Micros full_pause = 60ms;                           // a full host is left alone this long
-constexpr double retry_share = 0.15, retry_floor = 5;  // further attempts earned by each first one, always
-constexpr double cold_caution = 0.8;  // part of the even share, scaled to its capacity, a cold host may get
+constexpr Micros shun_for = 20s;  // a host that turned one kind of request away is dear for it this long
+constexpr double shun_cost = 16;  // by this factor
+constexpr int eject_after = 3;    // failures in a row that eject a host
+constexpr Micros eject_first = 500ms, eject_most = 8s;  // first ejection, doubled with each further one
+constexpr double retry_share = 0.15, retry_floor = 5;   // further attempts earned by each first one, always
+constexpr double cold_caution = 0.4;     // of what fells it, were it to get the even share of a warm one
 constexpr Micros cold_chance_most = 5s;  // time since a cold host was last looked at that counts for its part
 constexpr double warm_memory_s = 5;      // memory of the rate that warm hosts carry
 constexpr double own_view = 2;  // attempts out by which the own view of a host's load outweighs the mean
-
 constexpr std::size_t sampled = 12, kept = 32;  // hosts looked at for a request, out of those used at all
 constexpr double known_answers = 10;            // answers of a host in the memory that spare a probe
 constexpr Micros report_valid = 250ms;          // a host's own word on its load is believed this long
@@ -149,6 +144,7 @@
     int out = 0;              // own attempts out
     std::uint32_t place = 0;  // in this gateway's order
     double out_limit = limit_start;
+    std::map<int, Micros> shunned;  // by kind of request, until when
     Micros last_answer{0}, blocked_until{0};
     Fading answers;       // seen here lately
     double answer_s = 0;  // mean answer time; 0: none seen
@@ -164,7 +160,7 @@
     Customer* customer = nullptr;
     Micros deadline{0}, latest_start{0};
     bool in_quota = true, admitted = false, sent = false, waiting = false, probing = false, maybe_ran = false;
-    int attempts = 0, out = 0, rounds = 0, probes_out = 0;
+    int kind = 0, attempts = 0, out = 0, rounds = 0, probes_out = 0;  // kind: class and plan
     std::vector<Host*> pair;
     Micros last_sent{0}, first_maybe{0};
     std::string last_host, group_zone;
@@ -241,7 +237,7 @@
     // Gives a part: what is needed or nothing, and at most half of the rest on top, taken off first, so that
     // parts lost on the way are lost and none counts twice. Acts where the slice held here does not cover a
     // request; harms by a burst at most for each home that restarts.
-    PartGiven give(const PartAsk& ask, int from) {
+    PartGiven give(const PartAsk& ask) {
         const Plan& p = s_.plans[ask.plan];
         auto [it, fresh] = ledgers_.try_emplace(ask.customer);
         Ledger& l = it->second;
@@ -255,9 +251,7 @@
         l.asked.add(ask.need + ask.extra, now_, use_memory_s);
         PartGiven given{ask.nonce};
         given.demand = l.asked.value(now_, use_memory_s) / use_memory_s;
-        const double over = from == s_.rank ? 1 : given.demand / std::max(p.rate, 1e-9);
         double wait = ask.need > l.level ? (ask.need - l.level) / std::max(p.rate, 1e-9) : 0;
-        wait *= std::clamp(over, 1.0, wait_stretch_most);
         if (l.hard < ask.hard) wait = std::max(wait, (ask.hard - l.hard) / std::max(p.hard_rate, 1e-9));
         if (wait > 0)
             return given.wait_ms = static_cast<std::uint32_t>(std::min(wait, 60.0) * 1e3) + 1, given;
@@ -277,7 +271,7 @@
         ask.extra = std::max(0.0, c.own.value(now_, use_memory_s) / use_memory_s * part_ahead_s - k);
         for (int place = 0; place < homes && c.tries < asks_most; ++place) {
             const int to = home(c.hash, c.set_start, c.set_size, place);
-            if (to == s_.rank) return receive(c, give(ask, s_.rank));
+            if (to == s_.rank) return receive(c, give(ask));
             if (!s_.may_message || now_ < peers_[to].silent_until) continue;
             c.nonce = std::exchange(next_nonce_, next_nonce_ + 2);
             asks_[c.nonce] = {&c, to, now_};
@@ -365,6 +359,7 @@
         Request q;
         q.ask = r, q.customer = &c, q.deadline = now_ + r.time_left;
         q.ask.units = std::max(0.0, r.units);
+        q.kind = r.request_class * static_cast<int>(s_.plans.size() + 1) + r.plan + 1;
         const double left = seconds(std::min(r.time_left, s_.classes[r.request_class].aim));
         const double margin = std::min(margin_answers * answer_for(q.ask.units), margin_most * left);
         q.latest_start = now_ + micros(left - margin);
@@ -417,8 +412,7 @@
     // part of a request come due since it was last considered. In sum over all gateways the share holds.
     // Guards against herds on fresh hosts, retries too; harms where requests cost more than their units say.
     bool cold_turn(Host& h, double units) {
-        const double rate =
-            cold_caution * std::min(1.0, s_.fall_multiple / 2) * capacity_share(h) * warm_rate_;
+        const double rate = cold_caution * s_.fall_multiple * capacity_share(h) * warm_rate_;
         const Micros span = std::min(now_ - std::exchange(h.looked_at, now_), cold_chance_most);
         return uniform() * std::max(units, 1e-3) < rate * seconds(span);
     }
@@ -468,7 +462,6 @@
         for (std::size_t i = 0; i < order_.size() && seen < sampled; ++i) {
             if (i < kept) std::swap(order_[i], order_[i + random_() % (std::min(kept, order_.size()) - i)]);
             Host& h = *order_[i];
-            if (h.ejections > 0 && h.failures > 0 && h.out > 0) continue;  // one trial at a time
             if (h.entry.state != HostState::up || now_ < h.blocked_until || !in_group(q, h)) continue;
             if (known(h) && held(h) >= limit(h)) continue;
             ++seen;
@@ -478,6 +471,10 @@
             double c = cost(h) * (0.95 + 0.1 * uniform());
             if (h.entry.zone != s_.zone) c *= 1 + 5 * s_.cross_zone_cost;
             if (h.entry.host == q.last_host) c *= 4;
+            // Turned this kind away lately while it served others: whatever the cause, the others keep the
+            // host.
+            if (const auto it = h.shunned.find(q.kind); it != h.shunned.end() && now_ < it->second)
+                c *= shun_cost;
             if (!best.second || c < best.first) second = best, best = {c, &h};
             else if (!second.second || c < second.first) second = {c, &h};
         }
@@ -652,7 +649,6 @@
             slow_share_ += slow_weight * (slow - slow_share_);
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
-        if (a.outcome == Outcome::full) h.blocked_until = std::max(h.blocked_until, now_ + full_pause);
         if (a.outcome == Outcome::error || silent) fail(h, 1);
         if (a.outcome == Outcome::connect_failed || a.outcome == Outcome::reset) fail(h, eject_after);
     }
@@ -674,6 +670,8 @@
             if (a.report.queued >= 0 || a.report.outstanding >= 0) note_report(host->second, a.report);
             if (a.outcome == Outcome::good || a.outcome == Outcome::error) host->second.last_answer = now_;
             if (!stalled()) judge(host->second, a, aim);
+            if (a.outcome == Outcome::full && answer_s_ <= limit_slow_part * aim && found != requests_.end())
+                host->second.shunned[found->second.kind] = now_ + shun_for;
         }
         if (found != requests_.end()) {
             Request& q = found->second;
@@ -703,7 +701,9 @@
         const RequestClass& k = s_.classes[q.ask.request_class];
         const bool keyed = k.effect == Effect::keyed && now_ - q.first_maybe < k.repeat_window;
         const bool may = (!q.maybe_ran || k.effect == Effect::safe || keyed) && q.attempts < s_.max_attempts;
-        if (!may || now_ >= q.latest_start || !take_retry()) return finish(q);
+        // Turned away among fast answers: another host may well take it, and no work is added.
+        const bool spare = !q.maybe_ran && answer_s_ <= limit_slow_part * seconds(k.aim);
+        if (!may || now_ >= q.latest_start || !(spare || take_retry())) return finish(q);
         dispatch(q);
     }
     bool take_retry() {
@@ -786,7 +786,7 @@
             if (!ask) take_part(m.from, std::get<PartGiven>(message));
             else if (ask->plan < static_cast<int>(s_.plans.size()) && ask->set_size >= 1 &&
                      ask->set_size <= s_.instances)
-                post(m.from, give(*ask, m.from));
+                post(m.from, give(*ask));
         }
     }
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -493,6 +493,49 @@
     EXPECT_GT(run(8s), 20);  // and it is not starved
 }
 
+// Found on throttle days: a host that turned one plan away as full was left alone for all, and the plan came
+// back to it.
+TEST(Health, AHostThatTurnsOnePlanAwayLosesOnlyThatPlan) {
+    Settings s = one_gateway();
+    s.plans = {{"p", 0, 0, 0, 1, 0, 1, 0, 0}, {"q", 0, 0, 0, 1, 0, 1, 0, 0}};
+    Bench b(s, {host("a"), host("b"), host("c")});
+    RequestId id = 0;
+    std::map<std::string, int> of_p, of_q;
+    for (int i = 0; i < 300; ++i) {
+        b.pass(20ms);
+        const int plan = i % 2;
+        auto sent = of<SendAttempt>(b.ask(++id, 1, 2s, plan));
+        for (int tries = 0; !sent.empty() && tries < 3; ++tries) {
+            const SendAttempt a = sent[0];
+            ++(plan == 0 ? of_p : of_q)[a.host];
+            const bool full = plan == 0 && a.host == "a";
+            sent = of<SendAttempt>(b.end(id, a.host, full ? Outcome::full : Outcome::good, 30ms, tries));
+        }
+    }
+    EXPECT_LE(of_p["a"], 5);
+    EXPECT_GT(of_q["a"], 30);
+    EXPECT_TRUE(of<Refuse>(b.actions).empty());
+}
+
+// Found in i77ecda: each of hundreds of gateways held connections to every host.
+TEST(Hosts, AGatewayKeepsToAStableFew) {
+    Settings s = one_gateway();
+    s.plans[0].rate = s.plans[0].burst = 0;
+    std::vector<HostEntry> all;
+    for (int i = 0; i < 100; ++i) all.push_back(host(std::string("h").append(std::to_string(i))));
+    Bench b(s, all);
+    std::map<std::string, int> used;
+    for (RequestId id = 1; id <= 500; ++id) {
+        for (const SendAttempt& a : of<SendAttempt>(b.ask(id))) {
+            ++used[a.host];
+            b.end(id, a.host, Outcome::good, 20ms);
+        }
+        b.pass(10ms);
+    }
+    EXPECT_LE(used.size(), 40u);
+    EXPECT_GE(used.size(), 20u);
+}
+
 TEST(Settings, BadOnesGetAPlainMessage) {
     Settings s = one_gateway();
     s.rank = 3;
