--- a/src/control.cpp
+++ b/src/control.cpp
@@ -53,12 +53,11 @@
 constexpr double own_view = 2;  // attempts out by which the own view of a host's load outweighs the mean
 constexpr std::size_t sampled = 12, kept = 32;  // hosts looked at for a request, out of those used at all
 constexpr double known_answers = 10;            // answers of a host in the memory that spare a probe
-constexpr Micros report_valid = 250ms;          // a host's own word on its load is believed this long
-constexpr Micros probe_due = 40ms;              // the better of two hosts is waited for this long
-constexpr double window_slack = 2;     // deviations of own attempts out that pass; they even out in sum
-constexpr Micros wait_again = 100ms;   // a waiting request looks for a host anew this often
-constexpr int probe_rounds = 2;        // pairs of hosts probed for one request
-constexpr Micros probe_pause = 250ms;  // a host that fails a probe is left alone this long
+constexpr Micros report_valid = 250ms;  // a host's own word is believed, or a failed probe leaves it alone
+constexpr Micros probe_due = 40ms, wait_again = 100ms;  // the better of two is waited for, a host looked for
+constexpr double window_least = 0.2,
+                 window_slack = 2;  // deviations of own attempts out that pass; they even out in sum
+constexpr int probe_rounds = 2;     // pairs of hosts probed for one request
 
 enum class TimerKind : std::uint64_t { deadline, release, check, expiry, part, probe, flush, beat };
 constexpr std::uint64_t timer_kinds = 8;
@@ -523,7 +522,7 @@
         Host& h = it->second;
         const bool good = e.outcome == Outcome::good;
         if (good) note_report(h, e.report);
-        else h.blocked_until = std::max(h.blocked_until, now_ + probe_pause);
+        else h.blocked_until = std::max(h.blocked_until, now_ + report_valid);
         for (const RequestId id : std::exchange(h.probed_for, {})) {
             const auto found = requests_.find(id);
             if (found == requests_.end() || !found->second.probing) continue;
@@ -638,12 +637,13 @@
         const bool bad = loaded && (a.outcome == Outcome::full || (late && took > limit_slow_part * aim_s));
         h.answers.add(1, now_, long_memory_s);
         const bool cut = bad || (good && took > limit_slow_part * aim_s);
-        const auto learn = [&](double& most, bool near) {
-            if (cut) most = std::max(limit_least, most * limit_cut);
-            else if (good && near) most = std::min(limit_most, most + limit_growth / most);
+        const auto learn = [&](double& most, double least, bool near) {
+            if (cut) most = std::max(least, most * limit_cut);
+            else if (good && near)
+                most = std::min(limit_most, most + std::min(limit_growth / most, most / 4));
         };
-        learn(h.out_limit, load(h) + 2 > limit(h));
-        learn(limit_, 2 * (out_ + 1) > window());
+        learn(h.out_limit, limit_least, load(h) + 2 > limit(h));
+        learn(limit_, window_least, 2 * (out_ + 1) > window());
         if (good || bad) {
             const bool slow = a.outcome == Outcome::full || took > slow_part * aim_s;
             slow_share_ += slow_weight * (slow - slow_share_);
