--- a/src/control.cpp
+++ b/src/control.cpp
@@ -899,7 +899,7 @@
     std::vector<Host*> order_;  // all hosts, in this gateway's own order
     std::size_t warm_ = 0;
     Fading warm_sent_, work_out_, retry_earned_, retry_spent_;
-    double answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0, limit_ = limit_start;
+    double answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0, limit_ = limit_least;
     bool pressed_ = false;
     int out_ = 0;  // own attempts out
 };
