--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -569,6 +569,43 @@
                 of<Refuse>(b.actions).size() == 1);  // no time left: answered at once
 }
 
+TEST(Events, BadMessagesAndProbesChangeNothing) {
+    Settings s = one_of_two();
+    Bench b(s);
+    for (const PartAsk& ask :
+         {PartAsk{1, 2, 9, 2, 0, 1, 0, 0}, PartAsk{1, 2, 0, 0, 0, 1, 0, 0},
+          PartAsk{1, 2, 0, 3, 0, 1, 0, 0}})  // no such plan, an empty set, one above the fleet
+        EXPECT_TRUE(b.feed(MessageArrived{1, pack({ask})}).empty());
+    EXPECT_TRUE(b.feed(MessageArrived{2, pack({PartAsk{}})}).empty());                    // no such rank
+    EXPECT_TRUE(b.feed(MessageArrived{1, pack({PartGiven{77, 50, 50, 0, 1}})}).empty());  // never asked for
+    EXPECT_TRUE(b.feed(ProbeEnded{"gone", Outcome::good, 1ms, {}}).empty());
+    EXPECT_TRUE(b.feed(ProbeEnded{"a", Outcome::timeout, 250ms, {}}).empty());
+}
+
+TEST(Home, ARepeatedPartCountsOnce) {
+    Settings s = one_of_two();
+    s.rank = static_cast<int>((name_hash("c") + 1) % 2);
+    Bench b(s);
+    const auto asked = of<SendMessage>(b.ask(1, 1, 5s, 0, 0, "c", 2));
+    ASSERT_EQ(asked.size(), 1u);
+    const std::string part =
+        pack({PartGiven{std::get<PartAsk>(unpack(asked[0].bytes)->at(0)).nonce, 1, 0, 0, 1}});
+    EXPECT_EQ(of<SendAttempt>(b.feed(MessageArrived{asked[0].to, part})).size(), 1u);
+    EXPECT_TRUE(b.feed(MessageArrived{asked[0].to, part}).empty());
+    EXPECT_TRUE(
+        of<SendAttempt>(b.ask(2, 1, 5s, 0, 0, "c", 2)).empty());  // nothing is left here: it asks again
+}
+
+TEST(Home, OddSetSizesWork) {
+    for (const int set : {0, 1, 2, 500}) {
+        Bench b(one_of_two());
+        b.ask(1, 1, 2s, 0, 0, "c", set);
+        b.pass(2s);
+        EXPECT_GE(of<SendAttempt>(b.actions).size(), 1u) << set;
+        EXPECT_EQ(of<Refuse>(b.actions).size(), 1u) << set;  // no host answered
+    }
+}
+
 TEST(Settings, ZeroFiguresWork) {
     Settings s;
     s.classes = {{"read", Effect::safe, RepeatScope::all, 800ms, 2s, 0us, 0, 0}};
