One test of fast answers in place of three, a host's place worked out once; the repeat group is looked at again after a probe

A keyed request that may have run could leave up to 40 ms after its host was chosen, past the time in which repeats are dropped. The rest changes no behaviour.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -470,8 +470,7 @@
             double c = cost(h) * (0.95 + 0.1 * uniform());
             if (h.entry.zone != s_.zone) c *= 1 + 5 * s_.cross_zone_cost;
             if (h.entry.host == q.last_host) c *= 4;
-            // Turned this kind away lately while it served others: whatever the cause, the others keep the
-            // host.
+            // Turned this kind away lately while it served others: whatever the cause, those keep the host.
             if (const auto it = h.shunned.find(q.kind); it != h.shunned.end() && now_ < it->second)
                 c *= shun_cost;
             if (!best.second || c < best.first) second = best, best = {c, &h};
@@ -529,7 +528,7 @@
             Request& q = found->second;
             if (!std::count(q.pair.begin(), q.pair.end(), &h)) continue;
             --q.probes_out;
-            if (good && h.idle && takes(h)) send_to(q, h);
+            if (good && h.idle && takes(h) && in_group(q, h)) send_to(q, h);
             else if (q.probes_out <= 0) choose(q);
         }
         pump();
@@ -543,7 +542,7 @@
     void choose(Request& q) {
         Host* best = nullptr;
         for (Host* h : q.pair)
-            if (takes(*h) && (!best || cost(*h) < cost(*best))) best = h;
+            if (takes(*h) && in_group(q, *h) && (!best || cost(*h) < cost(*best))) best = h;
         if (best && now_ <= q.latest_start) return send_to(q, *best);
         q.probing = false;
         dispatch(q);
@@ -620,6 +619,9 @@
 
     // ---- outcomes and health ----------------------------------------------------------------------------
 
+    // Refusals and time-outs among fast answers tell of one kind of request, not of load.
+    bool fast(double aim_s) const { return answer_s_ <= limit_slow_part * aim_s; }
+
     void judge(Host& h, const AttemptEnded& a, double aim_s) {
         const bool good = a.outcome == Outcome::good;
         const double took = seconds(a.took);
@@ -632,9 +634,8 @@
         // A time-out counts as slow or bad by its length, and as the host's failure only if that was silent
         // all along. Guards against clients of little patience and costly requests putting good hosts out.
         const bool late = a.outcome == Outcome::timeout, silent = late && h.last_answer + a.took < now_;
-        // Refusals and time-outs among fast answers tell of one kind of request, not of load.
-        const bool loaded = answer_s_ > limit_slow_part * aim_s;
-        const bool bad = loaded && (a.outcome == Outcome::full || (late && took > limit_slow_part * aim_s));
+        const bool bad =
+            !fast(aim_s) && (a.outcome == Outcome::full || (late && took > limit_slow_part * aim_s));
         h.answers.add(1, now_, long_memory_s);
         const bool cut = bad || (good && took > limit_slow_part * aim_s);
         const auto learn = [&](double& most, double least, bool near) {
@@ -670,7 +671,7 @@
             if (a.report.queued >= 0 || a.report.outstanding >= 0) note_report(host->second, a.report);
             if (a.outcome == Outcome::good || a.outcome == Outcome::error) host->second.last_answer = now_;
             if (!stalled()) judge(host->second, a, aim);
-            if (a.outcome == Outcome::full && answer_s_ <= limit_slow_part * aim && found != requests_.end())
+            if (a.outcome == Outcome::full && fast(aim) && found != requests_.end())
                 host->second.shunned[found->second.kind] = now_ + shun_for;
         }
         if (found != requests_.end()) {
@@ -702,7 +703,7 @@
         const bool keyed = k.effect == Effect::keyed && now_ - q.first_maybe < k.repeat_window;
         const bool may = (!q.maybe_ran || k.effect == Effect::safe || keyed) && q.attempts < s_.max_attempts;
         // Turned away among fast answers: another host may well take it, and no work is added.
-        const bool spare = !q.maybe_ran && answer_s_ <= limit_slow_part * seconds(k.aim);
+        const bool spare = !q.maybe_ran && fast(seconds(k.aim));
         if (!may || now_ >= q.latest_start || !(spare || take_retry())) return finish(q);
         dispatch(q);
     }
@@ -748,6 +749,7 @@
             if (fresh || entry.started != h.entry.started) {
                 h.out = std::exchange(h, Host{}).out;
                 h.looked_at = h.last_answer = now_;
+                h.place = name_hash(entry.host + ' ' + std::to_string(s_.rank));
             }
             h.entry = entry;
         }
@@ -763,7 +765,6 @@
         warm_ = 0;
         for (auto& [name, h] : hosts_) {
             order_.push_back(&h);
-            h.place = name_hash(name + ' ' + std::to_string(s_.rank));
             warm_ += h.entry.state == HostState::up && capacity_share(h) >= 1;
         }
         const auto before = [](const Host* a, const Host* b) { return a->place < b->place; };
