A refusal carries its reason

The running gateway must tell quota, ceiling, pressed and missing hosts apart in its answers. Refuse gains a reason; no decision changed.

--- a/include/silverreach/interface.h
+++ b/include/silverreach/interface.h
@@ -146,9 +146,19 @@
     std::string host;
     Micros within;  // 0: until the client quits
 };
+enum class RefuseReason {
+    quota,      // the customer's own quota is spent
+    ceiling,    // its hard ceiling is
+    open,       // it has as many attempts out as its plan allows
+    pressed,    // the back end looks pressed and its slice comes too late
+    no_host,    // no host could take it in time; nothing was sent
+    no_answer,  // it was sent, no good answer came in time; a repeat is harmless all the same
+    late        // it came with no time left
+};
 struct Refuse {  // final: trying again is harmless
     RequestId id;
     Micros retry_after;  // 0: no advice
+    RefuseReason reason = RefuseReason::quota;
 };
 struct Fail {  // final: promises nothing
     RequestId id;
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -331,16 +331,17 @@
     }
 
     // Beyond the quota: refused at once with the wait, unless settings say that excess earns.
-    void deny(Request& q, Micros wait) {
+    void deny(Request& q, Micros wait, RefuseReason reason = RefuseReason::quota) {
         const Plan* p = plan_of(*q.customer);
-        const bool earns = p->excess_worth > p->excess_cost && hard_lack(*q.customer, q.ask.units) <= 0;
+        const bool ceiling = hard_lack(*q.customer, q.ask.units) > 0;
+        const bool earns = p->excess_worth > p->excess_cost && !ceiling;
         const bool room = !pressed_ && slow_share_ < room_below && waiting_.empty();
-        if (!earns || !room) return refuse(q, wait);
+        if (!earns || !room) return refuse(q, wait, ceiling ? RefuseReason::ceiling : reason);
         q.in_quota = false;
         admit(q);
     }
-    void refuse(Request& q, Micros wait) {
-        actions_->push_back(Refuse{q.ask.id, advice(std::max(wait, 0us))});
+    void refuse(Request& q, Micros wait, RefuseReason reason) {
+        actions_->push_back(Refuse{q.ask.id, advice(std::max(wait, 0us)), reason});
         forget(q);
     }
 
@@ -353,7 +354,7 @@
         if (r.request_class < 0 || r.request_class >= static_cast<int>(s_.classes.size()) ||
             r.plan >= static_cast<int>(s_.plans.size()) || requests_.count(r.id))
             return;
-        if (r.time_left <= 0us) return actions_->push_back(Refuse{r.id, 0us});
+        if (r.time_left <= 0us) return actions_->push_back(Refuse{r.id, 0us, RefuseReason::late});
         Customer& c = customer(r);
         Request q;
         q.ask = r, q.customer = &c, q.deadline = now_ + r.time_left;
@@ -371,7 +372,7 @@
         if (!p || (lack(c, k) <= 0 && hard_lack(c, k) <= 0)) return admit(kept);
         const double open = p->max_open * share(c);
         if (p->max_open > 0 && c.open >= std::max(1.0, std::round(open)))
-            return deny(kept, micros(answer_s_));
+            return deny(kept, micros(answer_s_), RefuseReason::open);
         if (now_ < c.dry_until && k >= c.dry_need) return deny(kept, c.dry_until - now_);
         c.asking.push_back(r.id);
         if (c.nonce == 0) obtain(c);
@@ -387,7 +388,7 @@
             const double stable_s = 1 / (p->rate * share(c)), warmup_s = p->burst / p->rate;
             c.limiter.resync(now_, stable_s, warmup_s);
             wait = c.limiter.next_free - now_;
-            if (now_ + wait > q.latest_start) return refuse(q, wait);
+            if (now_ + wait > q.latest_start) return refuse(q, wait, RefuseReason::pressed);
             c.limiter.reserve(k, stable_s, warmup_s);
         }
         q.admitted = true;
@@ -603,7 +604,8 @@
         const RequestClass& k = s_.classes[q.ask.request_class];
         const bool harmless = k.effect == Effect::safe || !(q.maybe_ran || q.out > 0) ||
                               (k.effect == Effect::keyed && k.repeat_scope == RepeatScope::all && q.out == 0);
-        if (harmless) return refuse(q, q.sent ? 0us : micros(answer_s_));
+        if (harmless && q.sent) return refuse(q, 0us, RefuseReason::no_answer);
+        if (harmless) return refuse(q, micros(answer_s_), RefuseReason::no_host);
         actions_->push_back(Fail{q.ask.id});
         forget(q);
     }
