--- /dev/null
+++ b/src/cli/instance.cpp
@@ -0,0 +1,190 @@
+#include "cli/instance.h"
+
+#include <fstream>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+
+namespace silverreach::cli {
+namespace {
+using namespace std::chrono_literals;
+constexpr Micros drain_look = 20ms;
+
+std::uint64_t seed_of(const config::Config& config) {
+    if (config.has_seed()) return config.seed();
+    std::random_device device;
+    return static_cast<std::uint64_t>(device()) << 32 | device();
+}
+std::int64_t whole(std::uint64_t value) { return static_cast<std::int64_t>(value); }
+std::string_view name_of(Outcome outcome) {
+    constexpr std::array<std::string_view, 8> names = {"good",           "error", "full",      "timeout",
+                                                       "connect_failed", "reset", "cancelled", "moot"};
+    return names[static_cast<std::size_t>(outcome)];
+}
+}  // namespace
+
+std::optional<std::string> read_file(const std::string& path) {
+    std::ifstream in(path, std::ios::binary);
+    std::ostringstream text;
+    if (!in || !(text << in.rdbuf())) return std::nullopt;
+    return text.str();
+}
+std::string folder_of(const std::string& path) {
+    const std::size_t slash = path.rfind('/');
+    return slash == std::string::npos ? "." : slash == 0 ? "/" : path.substr(0, slash);
+}
+
+Instance::Instance(event::Loop& loop, const config::Config& config, std::string folder, log::Log& log)
+    : loop_(loop), config_(config), folder_(std::move(folder)), log_(log), accounts_(config) {
+    std::vector<openapi::Problem> problems;
+    description_ = read_description(problems);
+    if (!description_) {
+        std::string all;
+        for (const auto& p : problems) all += (all.empty() ? "" : "\n") + openapi::to_string(p);
+        throw std::runtime_error(all);
+    }
+    const std::uint64_t seed = seed_of(config);
+    core_ = std::make_unique<core::Core>(config::settings_of(config), config.peers().account_spread(), seed,
+                                         loop.now(), static_cast<core::Outside&>(*this));
+    upstream_ = std::make_unique<upstream::Upstream>(loop, config, static_cast<upstream::Events&>(*this));
+    if (config.has_peers())
+        peers_ = std::make_unique<peers::Peers>(loop, config, [this](int rank, std::string bytes) {
+            core_->message_arrived(loop_.now(), {rank, std::move(bytes)});
+        });
+    fronts::http::Front::Hooks hooks;
+    hooks.description = [this] { return description_; };
+    hooks.record = [this](const fronts::http::Record& r) { record(r); };
+    hooks.served_here = [this](const config::AccountRef& account) {
+        const int instances = std::max(1, config_.peers().peer_size());
+        return core_->set_of(account.name).holds(config_.peers().rank(), instances);
+    };
+    roster::Roster::Hooks list;
+    list.changed = [this](std::vector<HostEntry> hosts) { hosts_changed(std::move(hosts)); };
+    list.bad = [this](const std::vector<openapi::Problem>& found) {
+        for (const auto& p : found) log_.write(log::Level::error, "hosts_bad", {{"problem", openapi::to_string(p)}});
+    };
+    list.unreachable = [this](const std::string& why) { log_.write(log::Level::warning, "hosts_unreachable", {{"why", why}}); };
+    front_ = std::make_unique<fronts::http::Front>(loop, config, accounts_, *core_, seed ^ 0x5bd1e995, std::move(hooks));
+    roster_ = std::make_unique<roster::Roster>(loop, config, folder_, std::move(list));
+}
+Instance::~Instance() {
+    alive_.reset();
+    // The front's connections may tell the core of their end; the core may still send: in this order none is missing.
+    roster_.reset();
+    front_.reset();
+    upstream_.reset();
+}
+
+std::shared_ptr<const openapi::Description> Instance::read_description(std::vector<openapi::Problem>& problems) const {
+    const std::string& name = config_.api().description();
+    const std::string path = name.starts_with('/') ? name : folder_ + "/" + name;
+    const auto text = read_file(path);
+    if (!text) {
+        problems.push_back({path, 0, "api.description", "a file that can be read"});
+        return nullptr;
+    }
+    return openapi::load(*text, path, config::policy_of(config_), problems);
+}
+
+bool Instance::reload() {
+    std::vector<openapi::Problem> problems;
+    auto fresh = read_description(problems);
+    for (const auto& p : problems) log_.write(log::Level::error, "description_bad", {{"problem", openapi::to_string(p)}});
+    if (!fresh) {
+        log_.write(log::Level::error, "description_kept", {{"problems", whole(problems.size())}});
+        return false;
+    }
+    description_ = std::move(fresh);
+    log_.write(log::Level::warning, "description_changed",
+               {{"version", description_->version}, {"routes", whole(description_->table.routes().size())}});
+    return true;
+}
+
+void Instance::drain(Micros most, std::function<void()> done) {
+    front_->stop_listening();
+    log_.write(log::Level::info, "draining", {{"in_hand", whole(front_->in_hand())}});
+    wait_for_drain(loop_.now() + most, std::move(done));
+}
+void Instance::wait_for_drain(Micros until, std::function<void()> done) {
+    if (front_->in_hand() == 0 || loop_.now() >= until) return done();
+    loop_.after(drain_look, [this, until, done = std::move(done), alive = std::weak_ptr<bool>(alive_)]() mutable {
+        if (!alive.expired()) wait_for_drain(until, std::move(done));
+    });
+}
+
+void Instance::log_counts() {
+    const core::Counts& c = core_->counts();
+    const auto up = upstream_->stats();
+    log::Fields fields = {{"taken", whole(c.taken)},       {"served", whole(c.served)},
+                          {"refused", whole(c.refused)},   {"failed", whole(c.failed)},
+                          {"left", whole(c.left)},         {"broken", whole(c.broken)},
+                          {"attempts", whole(c.attempts)}, {"held", whole(core_->held())},
+                          {"clients", whole(front_->connections())}, {"host_connections", whole(up.open)},
+                          {"opened", whole(up.opened)},    {"reused", whole(up.reused)}};
+    log_.write(log::Level::info, "counts", fields);
+    if (!peers_) return;
+    const auto& p = peers_->stats();
+    fields = {{"sent", whole(p.sent)}, {"received", whole(p.received)}, {"not_sent", whole(p.lost)}};
+    for (std::size_t i = 1; i < p.dropped.size(); ++i)
+        if (p.dropped[i] > 0) fields.push_back({peers::to_string(static_cast<peers::Drop>(i)), whole(p.dropped[i])});
+    log_.write(log::Level::info, "peers", fields);
+}
+
+void Instance::record(const fronts::http::Record& r) {
+    const bool ours = r.reason != "served";
+    log_.write(ours ? log::Level::info : log::Level::debug, "request",
+               {{"id", r.request_id}, {"reason", r.reason}, {"status", static_cast<std::int64_t>(r.status)},
+                {"method", r.method}, {"path", r.path}, {"account", r.account}, {"class", r.request_class},
+                {"units", r.units}, {"took_us", static_cast<std::int64_t>(r.took.count())}, {"client", r.client}});
+}
+
+void Instance::hosts_changed(std::vector<HostEntry> hosts) {
+    log_.write(log::Level::info, "hosts", {{"listed", whole(hosts.size())}});
+    upstream_->keep_only(hosts);
+    core_->hosts_changed(loop_.now(), {true, std::move(hosts)});
+}
+
+// ---- core::Outside ---------------------------------------------------------------------------------------
+
+void Instance::start_timer(Micros from_now, core::Timer timer) {
+    loop_.after(from_now, [this, timer, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired()) core_->timer_fired(loop_.now(), timer);
+    });
+}
+void Instance::send(const core::AttemptKey& key, const std::string& host) {
+    auto request = front_->out_request(key.request, key.attempt);
+    if (!request) return core_->attempt_ended(loop_.now(), key, host, Outcome::moot, 0us, {});
+    upstream_->send(key, host, std::move(request));
+}
+void Instance::cancel(const core::AttemptKey& key) { upstream_->cancel(key); }
+void Instance::probe(const std::string& host) { upstream_->probe(host); }
+void Instance::tell(int rank, const std::string& bytes) {
+    if (peers_) peers_->send(rank, bytes);
+}
+void Instance::finish(RequestId id, const core::Final& answer) { front_->finish(id, answer); }
+void Instance::cut(RequestId id) { front_->cut(id); }
+
+// ---- upstream::Events ------------------------------------------------------------------------------------
+
+bool Instance::answer_begins(const core::AttemptKey& key, const std::string& host, Micros took,
+                             const LoadReport& report, http::Head& head) {
+    if (!core_->answer_begins(loop_.now(), key, host, took, report)) return false;
+    front_->answer_begins(key.request, host, head, [this, key](bool pause) { upstream_->read(key, !pause); });
+    return true;
+}
+void Instance::answer_body(const core::AttemptKey& key, std::string_view bytes) { front_->answer_body(key.request, bytes); }
+void Instance::answer_ended(const core::AttemptKey& key, bool whole, const http::Fields& trailers) {
+    core_->answer_ended(loop_.now(), key.request, whole);
+    front_->answer_ended(key.request, whole, trailers);
+}
+void Instance::attempt_ended(const core::AttemptKey& key, const std::string& host, Outcome outcome, Micros took,
+                             const LoadReport& report, int status) {
+    log_.write(log::Level::debug, "attempt",
+               {{"request", whole(key.request)}, {"attempt", static_cast<std::int64_t>(key.attempt)}, {"host", host},
+                {"outcome", std::string(name_of(outcome))}, {"status", static_cast<std::int64_t>(status)},
+                {"took_us", static_cast<std::int64_t>(took.count())}});
+    core_->attempt_ended(loop_.now(), key, host, outcome, took, report);
+}
+void Instance::probe_ended(ProbeEnded ended) { core_->probe_ended(loop_.now(), std::move(ended)); }
+
+}  // namespace silverreach::cli
--- /dev/null
+++ b/src/cli/instance.h
@@ -0,0 +1,73 @@
+// One running gateway: the parts put together, and the core's way out to them.
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "config/config.h"
+#include "core/core.h"
+#include "event/loop.h"
+#include "fronts/http/front.h"
+#include "log/log.h"
+#include "peers/peers.h"
+#include "roster/roster.h"
+#include "upstream/upstream.h"
+
+namespace silverreach::cli {
+
+class Instance : private core::Outside, private upstream::Events {
+  public:
+    // `folder`: what relative names in the configuration start from. Throws std::runtime_error with a plain message
+    // where a socket, file or the description is not to be had.
+    Instance(event::Loop& loop, const config::Config& config, std::string folder, log::Log& log);
+    ~Instance();
+
+    int port() const { return front_->port(); }
+    // Reads the description again; a bad one is logged with all its errors and the old one stays.
+    bool reload();
+    // Takes no more, ends what is in hand, then calls `done`, after `most` at the latest.
+    void drain(Micros most, std::function<void()> done);
+    void log_counts();
+
+  private:
+    // ---- core::Outside ----
+    void start_timer(Micros from_now, core::Timer timer) override;
+    void send(const core::AttemptKey& key, const std::string& host) override;
+    void cancel(const core::AttemptKey& key) override;
+    void probe(const std::string& host) override;
+    void tell(int rank, const std::string& bytes) override;
+    void finish(RequestId id, const core::Final& answer) override;
+    void cut(RequestId id) override;
+    // ---- upstream::Events ----
+    bool answer_begins(const core::AttemptKey& key, const std::string& host, Micros took, const LoadReport& report,
+                       http::Head& head) override;
+    void answer_body(const core::AttemptKey& key, std::string_view bytes) override;
+    void answer_ended(const core::AttemptKey& key, bool whole, const http::Fields& trailers) override;
+    void attempt_ended(const core::AttemptKey& key, const std::string& host, Outcome outcome, Micros took,
+                       const LoadReport& report, int status) override;
+    void probe_ended(ProbeEnded ended) override;
+
+    std::shared_ptr<const openapi::Description> read_description(std::vector<openapi::Problem>& problems) const;
+    void record(const fronts::http::Record& record);
+    void hosts_changed(std::vector<HostEntry> hosts);
+    void wait_for_drain(Micros until, std::function<void()> done);
+
+    event::Loop& loop_;
+    const config::Config& config_;
+    std::string folder_;
+    log::Log& log_;
+    config::Accounts accounts_;
+    std::shared_ptr<const openapi::Description> description_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    std::unique_ptr<core::Core> core_;
+    std::unique_ptr<upstream::Upstream> upstream_;
+    std::unique_ptr<peers::Peers> peers_;
+    std::unique_ptr<fronts::http::Front> front_;
+    std::unique_ptr<roster::Roster> roster_;
+};
+
+std::optional<std::string> read_file(const std::string& path);
+std::string folder_of(const std::string& path);
+
+}  // namespace silverreach::cli
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,3 @@
+#include "cli/commands.h"
+
+int main(int argc, char** argv) { return silverreach::cli::run(argc, argv); }
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,56 @@
+// The gateway's configuration: protobuf text format, checked as a whole. No I/O.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "openapi/description.h"
+#include "silverreach.pb.h"
+#include "silverreach/interface.h"
+
+namespace silverreach::config {
+
+using openapi::Problem;
+using Micros = silverreach::Micros;
+
+struct Endpoint {  // of IP address and port, "127.0.0.1:80" or "[::1]:80"
+    std::string ip;
+    int port = 0;
+    bool v6 = false;
+    std::string text() const;
+};
+std::optional<Endpoint> parse_endpoint(std::string_view text);
+
+// Parses and checks; every problem found is appended, with file, line and field, and nothing returned.
+std::unique_ptr<Config> parse(std::string_view text, const std::string& file, std::vector<Problem>& problems);
+
+// What the module is started with. A configured class becomes three of the module's, one for each effect, since
+// a route's effect comes from the description.
+Settings settings_of(const Config& config);
+int class_index(const Config& config, std::string_view name, Effect effect);  // below 0: unknown
+int plan_index(const Config& config, std::string_view name);                  // below 0: unknown
+
+openapi::Policy policy_of(const Config& config);
+
+// The account behind a key: the one look-up that fronts use.
+struct AccountRef {
+    std::string name;
+    int plan = -1;
+};
+class Accounts {
+  public:
+    explicit Accounts(const Config& config);
+    const AccountRef* by_key(std::string_view key) const;  // nullptr: unknown
+    int anonymous_plan() const { return anonymous_plan_; }
+
+  private:
+    std::vector<AccountRef> accounts_;
+    std::unordered_map<std::string, std::size_t> by_key_;
+    int anonymous_plan_ = -1;
+};
+
+}  // namespace silverreach::config
--- /dev/null
+++ b/src/event/loop.cpp
@@ -0,0 +1,106 @@
+#include "event/loop.h"
+
+#include <time.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace silverreach::event {
+namespace {
+double seconds(Micros t) { return static_cast<double>(t.count()) / 1e6; }
+}  // namespace
+
+Loop::Loop() : loop_(ev_loop_new(EVFLAG_AUTO)) {
+    if (!loop_) throw std::runtime_error("event loop: the system offers no way to wait for sockets");
+    now_ = clock();
+    ev_timer_init(&timer_, [](struct ev_loop*, ev_timer* t, int) { static_cast<Loop*>(t->data)->fire(); }, 0, 0);
+    timer_.data = this;
+    // After the loop has slept the time is read again, once.
+    ev_prepare_init(&prepare_, [](struct ev_loop*, ev_prepare* p, int) { static_cast<Loop*>(p->data)->now_ = Micros(0); });
+    prepare_.data = this;
+    ev_prepare_start(loop_, &prepare_);
+    ev_unref(loop_);
+}
+Loop::~Loop() {
+    ev_timer_stop(loop_, &timer_);
+    ev_ref(loop_);
+    ev_prepare_stop(loop_, &prepare_);
+    ev_loop_destroy(loop_);
+}
+void Loop::run() { ev_run(loop_, 0); }
+void Loop::stop() { ev_break(loop_, EVBREAK_ALL); }
+
+Micros Loop::clock() {
+    timespec t{};
+    clock_gettime(CLOCK_MONOTONIC, &t);
+    return Micros(t.tv_sec * 1'000'000 + t.tv_nsec / 1000);
+}
+Micros Loop::now() const {
+    if (now_ == Micros(0)) now_ = clock();
+    return now_;
+}
+
+void Loop::after(Micros wait, std::function<void()> call) {
+    heap_.push_back({now() + std::max(wait, Micros(0)), order_++, std::move(call)});
+    std::push_heap(heap_.begin(), heap_.end());
+    if (armed_ == Micros(0) || heap_.front().at < armed_) arm();
+}
+void Loop::arm() {
+    ev_timer_stop(loop_, &timer_);
+    armed_ = Micros(0);
+    if (heap_.empty()) return;
+    armed_ = heap_.front().at;
+    // From the loop's own idea of now, which may be older than ours.
+    ev_now_update(loop_);
+    ev_timer_set(&timer_, std::max(0.0, seconds(armed_ - clock())), 0);
+    ev_timer_start(loop_, &timer_);
+}
+void Loop::fire() {
+    const Micros until = std::max(now(), clock());
+    now_ = until;
+    while (!heap_.empty() && heap_.front().at <= until) {
+        std::pop_heap(heap_.begin(), heap_.end());
+        auto call = std::move(heap_.back().call);
+        heap_.pop_back();
+        call();
+    }
+    arm();
+}
+
+Io::Io(Loop& loop, int fd, std::function<void(int)> call) : loop_(loop), call_(std::move(call)) {
+    ev_io_init(&io_, [](struct ev_loop*, ev_io* w, int got) { static_cast<Io*>(w->data)->call_(got); }, fd, 0);
+    io_.data = this;
+}
+Io::~Io() { ev_io_stop(loop_.raw(), &io_); }
+void Io::want(int interest) {
+    if (interest == interest_) return;
+    ev_io_stop(loop_.raw(), &io_);
+    interest_ = interest;
+    if (interest == none) return;
+    ev_io_set(&io_, io_.fd, interest);
+    ev_io_start(loop_.raw(), &io_);
+}
+
+Signal::Signal(Loop& loop, int number, std::function<void()> call) : loop_(loop), call_(std::move(call)) {
+    ev_signal_init(&signal_, [](struct ev_loop*, ev_signal* w, int) { static_cast<Signal*>(w->data)->call_(); },
+                   number);
+    signal_.data = this;
+    ev_signal_start(loop_.raw(), &signal_);
+}
+Signal::~Signal() { ev_signal_stop(loop_.raw(), &signal_); }
+
+FileWatch::FileWatch(Loop& loop, std::string path, Micros period, std::function<void()> call)
+    : loop_(loop), path_(std::move(path)), call_(std::move(call)) {
+    ev_stat_init(&stat_, [](struct ev_loop*, ev_stat* w, int) { static_cast<FileWatch*>(w->data)->call_(); },
+                 path_.c_str(), seconds(period));
+    stat_.data = this;
+    ev_stat_start(loop_.raw(), &stat_);
+}
+FileWatch::~FileWatch() { ev_stat_stop(loop_.raw(), &stat_); }
+
+void Fd::reset() {
+    if (fd_ >= 0) ::close(std::exchange(fd_, -1));
+}
+
+}  // namespace silverreach::event
--- /dev/null
+++ b/src/event/loop.h
@@ -0,0 +1,117 @@
+// RAII over libev: one loop a thread, watchers that stop when they go, one heap of timers.
+#pragma once
+
+#include <ev.h>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace silverreach::event {
+
+using Micros = std::chrono::microseconds;
+
+class Loop {
+  public:
+    Loop();
+    ~Loop();
+    Loop(const Loop&) = delete;
+    Loop& operator=(const Loop&) = delete;
+
+    void run();
+    void stop();
+    // Monotonic; read once for each turn of the loop, so all that happens in one turn happens at one time.
+    Micros now() const;
+    static Micros clock();  // the same clock, read afresh
+    // Calls once, `wait` from now. A timer cannot be taken back: its owner checks whether it still matters.
+    void after(Micros wait, std::function<void()> call);
+    struct ev_loop* raw() const { return loop_; }
+
+  private:
+    struct Due {
+        Micros at;
+        std::uint64_t order;  // timers due at once fire in the order in which they were set
+        std::function<void()> call;
+        bool operator<(const Due& o) const { return at != o.at ? at > o.at : order > o.order; }
+    };
+    void arm();
+    void fire();
+    struct ev_loop* loop_;
+    ev_timer timer_{};
+    ev_prepare prepare_{};
+    std::vector<Due> heap_;
+    std::uint64_t order_ = 0;
+    Micros armed_{0};
+    mutable Micros now_{0};
+};
+
+enum Interest { none = 0, readable = EV_READ, writable = EV_WRITE };
+
+// Watches one descriptor, which its owner closes. Stable in memory while it lives.
+class Io {
+  public:
+    Io(Loop& loop, int fd, std::function<void(int)> call);
+    ~Io();
+    Io(const Io&) = delete;
+    Io& operator=(const Io&) = delete;
+    void want(int interest);  // of Interest; no cost where nothing changes
+
+  private:
+    Loop& loop_;
+    ev_io io_{};
+    std::function<void(int)> call_;
+    int interest_ = none;
+};
+
+class Signal {
+  public:
+    Signal(Loop& loop, int number, std::function<void()> call);
+    ~Signal();
+    Signal(const Signal&) = delete;
+    Signal& operator=(const Signal&) = delete;
+
+  private:
+    Loop& loop_;
+    ev_signal signal_{};
+    std::function<void()> call_;
+};
+
+// Calls when a file's content may have changed; looks at least once in `period`.
+class FileWatch {
+  public:
+    FileWatch(Loop& loop, std::string path, Micros period, std::function<void()> call);
+    ~FileWatch();
+    FileWatch(const FileWatch&) = delete;
+    FileWatch& operator=(const FileWatch&) = delete;
+
+  private:
+    Loop& loop_;
+    std::string path_;
+    ev_stat stat_{};
+    std::function<void()> call_;
+};
+
+// A descriptor that is closed when its owner goes.
+class Fd {
+  public:
+    Fd() = default;
+    explicit Fd(int fd) : fd_(fd) {}
+    ~Fd() { reset(); }
+    Fd(Fd&& o) noexcept : fd_(std::exchange(o.fd_, -1)) {}
+    Fd& operator=(Fd&& o) noexcept {
+        if (this != &o) reset(), fd_ = std::exchange(o.fd_, -1);
+        return *this;
+    }
+    int get() const { return fd_; }
+    explicit operator bool() const { return fd_ >= 0; }
+    void reset();
+
+  private:
+    int fd_ = -1;
+};
+
+}  // namespace silverreach::event
--- /dev/null
+++ b/src/event/stream.h
@@ -0,0 +1,79 @@
+// Stream sockets for any protocol: a buffered connection and a listening socket with a limit.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "event/loop.h"
+
+namespace silverreach::event {
+
+// What a connection tells its owner. The owner may close the stream in any of these, and destroys it later only
+// (Loop::after): a stream does not go while it calls.
+class StreamOwner {
+  public:
+    virtual ~StreamOwner() = default;
+    virtual void on_connected() {}
+    virtual void on_data(std::string_view bytes) = 0;
+    virtual void on_end() = 0;              // the other side ended its half
+    virtual void on_broken(int error) = 0;  // errno; the stream is closed
+    virtual void on_drained() {}            // all that was written has left
+};
+
+class Stream {
+  public:
+    Stream(Loop& loop, Fd fd, StreamOwner& owner, bool connecting = false);
+
+    void write(std::string_view bytes);
+    void write(std::string_view first, std::string_view second);  // in one call of the system where it fits
+    std::size_t queued() const { return out_.size() - sent_; }
+    void read(bool on);  // back pressure: off, nothing is taken from the socket
+    void close();        // at once; what is queued is lost
+    void reset();        // at once, and so that the other side sees a broken connection
+    void end();          // no more will be written
+    bool closed() const { return !fd_; }
+    int fd() const { return fd_.get(); }
+
+  private:
+    void ready(int got);
+    void receive();
+    void flush();
+    void broken(int error);
+    void interest();
+
+    Fd fd_;
+    StreamOwner& owner_;
+    std::unique_ptr<Io> io_;
+    std::string out_;
+    std::size_t sent_ = 0;
+    bool connecting_, reading_ = true, ended_ = false, told_end_ = false;
+};
+
+
+class Listener {
+  public:
+    // `accepted` gets each connection and the other side's address; while it returns false for `room` nothing
+    // is accepted beyond what is closed at once. Throws std::runtime_error with a plain message.
+    Listener(Loop& loop, const std::string& ip, int port, bool v6, std::function<bool()> room,
+             std::function<void(Fd, std::string)> accepted);
+    int port() const { return port_; }
+    void stop();  // takes no more
+
+  private:
+    void accept_some();
+    Loop& loop_;
+    Fd fd_;
+    Fd spare_;  // given up for a moment to close a connection when descriptors run out
+    int port_ = 0;
+    std::function<bool()> room_;
+    std::function<void(Fd, std::string)> accepted_;
+    std::unique_ptr<Io> io_;
+    std::uint64_t refused_ = 0;
+};
+
+// A connecting socket, not blocking; an invalid one and `error` where the system refuses at once.
+Fd connect_to(const std::string& ip, int port, bool v6, int& error);
+
+}  // namespace silverreach::event
--- /dev/null
+++ b/src/fronts/http/connection.h
@@ -0,0 +1,74 @@
+// One client's connection: one request after another, answered in their order.
+//
+// States:  reading -> in hand -> answering -> reading ...   or, after an answer that ends it, lingering -> gone
+#pragma once
+
+#include "fronts/http/front.h"
+
+namespace silverreach::fronts::http {
+
+class Front::Connection : public event::StreamOwner, public wire::Parser::Events {
+  public:
+    Connection(Front& front, event::Fd fd, std::string client);
+
+    void finish(const core::Final& answer);
+    void cut();
+    void answer_begins(const std::string& host, wire::Head& head, std::function<void(bool)> pause);
+    void answer_body(std::string_view bytes);
+    void answer_ended(bool whole, const wire::Fields& trailers);
+    std::shared_ptr<const upstream::OutRequest> out_request(int attempt) const;
+
+    void on_data(std::string_view bytes) override;
+    void on_end() override;
+    void on_broken(int error) override;
+    void on_drained() override;
+
+    bool on_head(wire::Head& head) override;
+    void on_body(std::string_view bytes) override;
+    void on_message_end(wire::Fields& trailers) override;
+    void on_fault(const wire::Fault& fault) override;
+
+  private:
+    enum class State { reading, in_hand, answering, lingering, gone };
+    void take();
+    void advance();
+    void answer_myself(const OwnAnswer& answer, std::string_view reason);
+    void message_over();
+    void linger();
+    void go();
+    void leave_request();
+    void watch_time();
+    void note(int status, std::string_view reason);
+
+    Front& front_;
+    event::Stream stream_;
+    wire::Parser parser_;
+    std::string client_;
+    State state_ = State::reading;
+    std::string pending_;  // bytes of later requests
+    Micros since_{0};      // the present wait began
+    Micros progress_{0};   // the client last took something
+    bool in_body_ = false, half_closed_ = false, whole_ = false;
+
+    // of the request in hand; on the heap, so that an idle connection stays small
+    struct Request {
+        std::shared_ptr<const openapi::Description> description;  // the one it began under
+        wire::Head head;
+        Resolved resolved;
+        Identity identity;
+        std::string body;
+        std::shared_ptr<upstream::OutRequest> out;
+        ClientSide side;
+        Micros begun{0};
+        RequestId id = 0;
+        Framing framing = Framing::none;
+        std::function<void(bool)> pause;
+        std::string host;
+        int status = 0;
+        bool paused = false, body_read = false;
+    };
+    std::unique_ptr<Request> request_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);  // for timers that outlive the connection
+};
+
+}  // namespace silverreach::fronts::http
--- /dev/null
+++ b/src/fronts/http/front.cpp
@@ -0,0 +1,69 @@
+#include "fronts/http/front.h"
+
+#include <fmt/format.h>
+
+#include "fronts/http/connection.h"
+
+namespace silverreach::fronts::http {
+
+using namespace std::chrono_literals;
+
+Front::Front(event::Loop& loop, const config::Config& config, const config::Accounts& accounts, core::Core& core,
+             std::uint64_t seed, Hooks hooks)
+    : loop_(loop), config_(config), accounts_(accounts), core_(core), hooks_(std::move(hooks)),
+      resolver_(config, accounts), via_(fmt::format("silverreach-{}", config.peers().rank())), random_(seed) {
+    const auto at = config::parse_endpoint(config.listen().address());
+    listener_ = std::make_unique<event::Listener>(
+        loop, at->ip, at->port, at->v6,
+        [this] { return connections_.size() < static_cast<std::size_t>(config_.listen().max_connections()); },
+        [this](event::Fd fd, std::string client) { accept(std::move(fd), std::move(client)); });
+}
+Front::~Front() { alive_.reset(); }
+
+int Front::port() const { return listener_->port(); }
+void Front::stop_listening() { listener_->stop(); }
+std::size_t Front::connections() const { return connections_.size(); }
+
+void Front::accept(event::Fd fd, std::string client) {
+    auto connection = std::make_unique<Connection>(*this, std::move(fd), std::move(client));
+    Connection* key = connection.get();
+    connections_.emplace(key, std::move(connection));
+}
+
+// A connection may be in the middle of a call of its own; it goes at the next turn.
+void Front::bury(Connection& connection) {
+    const auto it = connections_.find(&connection);
+    if (it == connections_.end()) return;
+    if (gone_.empty())
+        loop_.after(0us, [this, alive = std::weak_ptr<bool>(alive_)] {
+            if (!alive.expired()) gone_.clear();
+        });
+    gone_.push_back(std::move(it->second));
+    connections_.erase(it);
+}
+
+Front::Connection* Front::find(RequestId id) const {
+    const auto it = by_id_.find(id);
+    return it == by_id_.end() ? nullptr : it->second;
+}
+std::shared_ptr<const upstream::OutRequest> Front::out_request(RequestId id, int attempt) const {
+    const Connection* c = find(id);
+    return c ? c->out_request(attempt) : nullptr;
+}
+void Front::finish(RequestId id, const core::Final& answer) {
+    if (Connection* c = find(id)) c->finish(answer);
+}
+void Front::cut(RequestId id) {
+    if (Connection* c = find(id)) c->cut();
+}
+void Front::answer_begins(RequestId id, const std::string& host, wire::Head& head, std::function<void(bool)> pause) {
+    if (Connection* c = find(id)) c->answer_begins(host, head, std::move(pause));
+}
+void Front::answer_body(RequestId id, std::string_view bytes) {
+    if (Connection* c = find(id)) c->answer_body(bytes);
+}
+void Front::answer_ended(RequestId id, bool whole, const wire::Fields& trailers) {
+    if (Connection* c = find(id)) c->answer_ended(whole, trailers);
+}
+
+}  // namespace silverreach::fronts::http
--- /dev/null
+++ b/src/fronts/http/front.h
@@ -0,0 +1,75 @@
+// The HTTP front: clients' connections, requests in and answers out. It hands each whole request to the core and
+// writes what comes back; it decides on nothing but the form of a message.
+#pragma once
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <random>
+#include <unordered_map>
+
+#include "config/config.h"
+#include "core/core.h"
+#include "event/stream.h"
+#include "fronts/http/resolve.h"
+#include "fronts/http/translate.h"
+#include "upstream/upstream.h"
+
+namespace silverreach::fronts::http {
+
+// What a log line of one request says.
+struct Record {
+    std::string request_id, method, path, account, request_class, reason, client;
+    double units = 0;
+    int status = 0;  // 0: none was sent
+    Micros took{0};
+};
+
+class Front {
+  public:
+    struct Hooks {
+        std::function<std::shared_ptr<const openapi::Description>()> description;  // the one in force
+        std::function<void(const Record&)> record;
+        std::function<bool(const config::AccountRef&)> served_here;  // this instance is of the account's set
+    };
+    // All but `hooks` must outlive the front. Throws std::runtime_error where it cannot listen.
+    Front(event::Loop& loop, const config::Config& config, const config::Accounts& accounts, core::Core& core,
+          std::uint64_t seed, Hooks hooks);
+    ~Front();
+
+    int port() const;
+    void stop_listening();
+    std::size_t connections() const;
+    std::size_t in_hand() const { return by_id_.size(); }
+
+    // ---- what comes back for a request; an unknown id is passed over ----
+    std::shared_ptr<const upstream::OutRequest> out_request(RequestId id, int attempt) const;
+    void finish(RequestId id, const core::Final& answer);
+    void cut(RequestId id);
+    // `pause` is called with true when the client is slow to take the answer, with false when it goes on.
+    void answer_begins(RequestId id, const std::string& host, wire::Head& head, std::function<void(bool)> pause);
+    void answer_body(RequestId id, std::string_view bytes);
+    void answer_ended(RequestId id, bool whole, const wire::Fields& trailers);
+
+  private:
+    class Connection;
+    Connection* find(RequestId id) const;
+    void accept(event::Fd fd, std::string client);
+    void bury(Connection& connection);
+
+    event::Loop& loop_;
+    const config::Config& config_;
+    const config::Accounts& accounts_;
+    core::Core& core_;
+    Hooks hooks_;
+    Resolver resolver_;
+    std::string via_;
+    std::mt19937_64 random_;
+    std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+    std::vector<std::unique_ptr<Connection>> gone_;
+    std::unordered_map<RequestId, Connection*> by_id_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    std::unique_ptr<event::Listener> listener_;
+};
+
+}  // namespace silverreach::fronts::http
--- /dev/null
+++ b/src/http/head.cpp
@@ -0,0 +1,200 @@
+#include "http/head.h"
+
+#include <algorithm>
+#include <array>
+
+namespace silverreach::http {
+namespace {
+constexpr std::string_view digits = "0123456789";
+constexpr std::size_t most_length_digits = 15;
+
+char lower(char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; }
+bool token_char(char c) {
+    return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z') ||
+           std::string_view("!#$%&'*+-.^_`|~").find(c) != std::string_view::npos;
+}
+std::string_view trim(std::string_view text) {
+    while (!text.empty() && (text.front() == ' ' || text.front() == '\t')) text.remove_prefix(1);
+    while (!text.empty() && (text.back() == ' ' || text.back() == '\t')) text.remove_suffix(1);
+    return text;
+}
+std::string_view next_word(std::string_view& list) {
+    const std::size_t end = std::min(list.find(','), list.size());
+    const std::string_view word = trim(list.substr(0, end));
+    list.remove_prefix(std::min(end + 1, list.size()));
+    return word;
+}
+
+// What the field lines of a head say about its framing.
+struct Framing {
+    int lengths = 0, codings = 0, hosts = 0;
+    std::string_view length, coding, host;
+};
+
+// Walks the field lines after the first line; `lines` ends with the empty line.
+std::optional<Fault> check_fields(std::string_view lines, std::size_t most, Framing& framing) {
+    std::size_t count = 0;
+    while (true) {
+        const std::size_t end = lines.find("\r\n");
+        if (end == std::string_view::npos) return Fault{400, "a line that does not end with CR LF"};
+        const std::string_view line = lines.substr(0, end);
+        lines.remove_prefix(end + 2);
+        if (line.empty()) return std::nullopt;
+        if (++count > most) return Fault{431, "too many fields"};
+        if (line.front() == ' ' || line.front() == '\t') return Fault{400, "a folded line"};
+        const std::size_t colon = line.find(':');
+        if (colon == std::string_view::npos) return Fault{400, "a field without a colon"};
+        const std::string_view name = line.substr(0, colon);
+        if (!token(name)) return Fault{400, "a field name that is no token"};
+        const std::string_view value = trim(line.substr(colon + 1));
+        for (const char c : value)
+            if ((static_cast<unsigned char>(c) < 0x20 && c != '\t') || c == 0x7F)
+                return Fault{400, "a control character in a field"};
+        if (same_name(name, "Content-Length")) ++framing.lengths, framing.length = value;
+        if (same_name(name, "Transfer-Encoding")) ++framing.codings, framing.coding = value;
+        if (same_name(name, "Host")) ++framing.hosts, framing.host = value;
+    }
+}
+
+std::optional<Fault> check_framing(const Framing& f, bool http_1_0) {
+    if (f.lengths > 1) return Fault{400, "Content-Length more than once"};
+    if (f.codings > 1) return Fault{400, "Transfer-Encoding more than once"};
+    if (f.lengths && f.codings) return Fault{400, "Content-Length beside Transfer-Encoding"};
+    if (f.lengths && (f.length.empty() || f.length.find_first_not_of(digits) != std::string_view::npos))
+        return Fault{400, "a Content-Length that is not digits alone"};
+    if (f.length.size() > most_length_digits) return Fault{413, "a Content-Length beyond all limits"};
+    if (f.codings && http_1_0) return Fault{400, "Transfer-Encoding in HTTP/1.0"};
+    if (f.codings && !same_name(f.coding, "chunked")) return Fault{501, "a transfer coding other than chunked"};
+    return std::nullopt;
+}
+
+bool sound_host(std::string_view host) {
+    return std::all_of(host.begin(), host.end(), [](char c) {
+        return c > 0x20 && c < 0x7F && std::string_view("/\\?#@<>\"{}|^`,").find(c) == std::string_view::npos;
+    });
+}
+}  // namespace
+
+bool same_name(std::string_view a, std::string_view b) {
+    return a.size() == b.size() &&
+           std::equal(a.begin(), a.end(), b.begin(), [](char x, char y) { return lower(x) == lower(y); });
+}
+const std::string* find(const Fields& fields, std::string_view name) {
+    for (const Field& f : fields)
+        if (same_name(f.name, name)) return &f.value;
+    return nullptr;
+}
+bool lists(const Fields& fields, std::string_view name, std::string_view word) {
+    for (const Field& f : fields) {
+        if (!same_name(f.name, name)) continue;
+        std::string_view list = f.value;
+        while (!list.empty())
+            if (same_name(next_word(list), word)) return true;
+    }
+    return false;
+}
+bool token(std::string_view text) { return !text.empty() && std::all_of(text.begin(), text.end(), token_char); }
+
+std::size_t head_end(std::string_view bytes, std::size_t from) {
+    const std::size_t at = bytes.find("\r\n\r\n", from < 3 ? 0 : from - 3);
+    return at == std::string_view::npos ? at : at + 4;
+}
+
+std::optional<Fault> check_partial(std::string_view head, const HeadLimits& limits) {
+    const std::size_t line = std::min(head.find("\r\n"), head.size());
+    constexpr std::size_t around_target = 40;  // method, version and spaces
+    if (line > limits.target + around_target) return Fault{414, "a target that is too long"};
+    if (head.size() > limits.head) return Fault{431, "a head that is too long"};
+    // A bare LF is looked for early: such a client waits for an answer that the end of its head never brings.
+    for (std::size_t i = head.find('\n'); i != std::string_view::npos; i = head.find('\n', i + 1))
+        if (i == 0 || head[i - 1] != '\r') return Fault{400, "a line that does not end with CR LF"};
+    return std::nullopt;
+}
+
+std::optional<Fault> check_request(std::string_view head, const HeadLimits& limits) {
+    const std::size_t end = head.find("\r\n");
+    const std::string_view line = head.substr(0, end);
+    if (line.find_first_of(std::string_view("\n\r\0", 3)) != std::string_view::npos)
+        return Fault{400, "a control character in the request line"};
+    const std::size_t first = line.find(' '), last = line.rfind(' ');
+    if (first == std::string_view::npos || first == last) return Fault{400, "a request line that is not whole"};
+    const std::string_view method = line.substr(0, first), target = line.substr(first + 1, last - first - 1);
+    const std::string_view version = line.substr(last + 1);
+    if (!token(method)) return Fault{400, "a method that is no token"};
+    if (target.size() > limits.target) return Fault{414, "a target that is too long"};
+    if (head.size() > limits.head) return Fault{431, "a head that is too long"};
+    for (const char c : target)
+        if (c <= 0x20 || c == 0x7F || static_cast<unsigned char>(c) >= 0x80)
+            return Fault{400, "a target with characters that must be escaped"};
+    if (version.size() != 8 || !version.starts_with("HTTP/")) return Fault{400, "a request line that is not whole"};
+    if (version != "HTTP/1.1" && version != "HTTP/1.0") return Fault{505, "a version other than HTTP/1.0 or 1.1"};
+    Framing framing;
+    if (auto fault = check_fields(head.substr(end + 2), limits.fields, framing)) return fault;
+    const bool http_1_0 = version == "HTTP/1.0";
+    if (auto fault = check_framing(framing, http_1_0)) return fault;
+    if (framing.hosts > 1 || (framing.hosts == 0 && !http_1_0)) return Fault{400, "Host missing or more than once"};
+    if (!sound_host(framing.host)) return Fault{400, "a Host that is no host"};
+    return std::nullopt;
+}
+
+std::optional<Fault> check_response(std::string_view head) {
+    const std::size_t end = head.find("\r\n");
+    if (!head.starts_with("HTTP/1.") || end == std::string_view::npos || end < 12)
+        return Fault{502, "a status line that is not whole"};
+    Framing framing;
+    constexpr std::size_t most_fields = 256;
+    if (auto fault = check_fields(head.substr(end + 2), most_fields, framing)) return Fault{502, fault->why};
+    if (auto fault = check_framing(framing, false)) return Fault{502, fault->why};
+    return std::nullopt;
+}
+
+std::vector<std::string_view> connection_words(const Fields& fields) {
+    std::vector<std::string_view> words;
+    for (const Field& f : fields) {
+        if (!same_name(f.name, "Connection")) continue;
+        std::string_view list = f.value;
+        while (!list.empty()) words.push_back(next_word(list));
+    }
+    return words;
+}
+bool hop_by_hop(const std::vector<std::string_view>& connection, std::string_view name) {
+    static constexpr std::array<std::string_view, 10> always = {
+        "Connection", "Keep-Alive", "Proxy-Connection",    "TE",    "Transfer-Encoding",
+        "Trailer",    "Upgrade",    "Proxy-Authorization", "HTTP2-Settings", "Proxy-Authenticate"};
+    const auto is = [&](std::string_view other) { return same_name(name, other); };
+    return std::any_of(always.begin(), always.end(), is) || std::any_of(connection.begin(), connection.end(), is);
+}
+
+bool sound_request_id(std::string_view text) {
+    return !text.empty() && text.size() <= 64 && std::all_of(text.begin(), text.end(), [](char c) {
+        return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z') || c == '.' || c == '_' || c == '-';
+    });
+}
+bool sound_traceparent(std::string_view t) {
+    const auto hex = [&](std::size_t from, std::size_t n) {
+        bool zero = true;
+        for (std::size_t i = from; i < from + n; ++i) {
+            if (!((t[i] >= '0' && t[i] <= '9') || (t[i] >= 'a' && t[i] <= 'f'))) return false;
+            zero = zero && t[i] == '0';
+        }
+        return !zero || n == 2;
+    };
+    return t.size() == 55 && t.starts_with("00-") && t[35] == '-' && t[52] == '-' && hex(3, 32) && hex(36, 16) &&
+           hex(53, 2);
+}
+
+std::string_view reason_phrase(int status) {
+    static constexpr std::array<std::pair<int, std::string_view>, 24> phrases = {{
+        {200, "OK"}, {201, "Created"}, {202, "Accepted"}, {204, "No Content"}, {304, "Not Modified"},
+        {400, "Bad Request"}, {401, "Unauthorized"}, {403, "Forbidden"}, {404, "Not Found"},
+        {405, "Method Not Allowed"}, {408, "Request Timeout"}, {409, "Conflict"}, {413, "Content Too Large"},
+        {414, "URI Too Long"}, {417, "Expectation Failed"}, {421, "Misdirected Request"},
+        {429, "Too Many Requests"}, {431, "Request Header Fields Too Large"}, {500, "Internal Server Error"},
+        {501, "Not Implemented"}, {502, "Bad Gateway"}, {503, "Service Unavailable"}, {504, "Gateway Timeout"},
+        {505, "HTTP Version Not Supported"}}};
+    for (const auto& [code, phrase] : phrases)
+        if (code == status) return phrase;
+    return "";
+}
+
+}  // namespace silverreach::http
--- /dev/null
+++ b/src/openapi/document.cpp
@@ -0,0 +1,139 @@
+#include "openapi/document.h"
+
+#include <fmt/format.h>
+#include <yaml-cpp/yaml.h>
+
+#include <charconv>
+#include <algorithm>
+#include <cmath>
+#include <nlohmann/json.hpp>
+#include <unordered_set>
+
+namespace silverreach::openapi {
+namespace {
+constexpr int deepest = 64;
+constexpr std::size_t most_values = 2'000'000, large = 16;
+
+struct Converter {
+    const std::string& file;
+    std::vector<Problem>& problems;
+    std::size_t values = 0;
+    bool whole = true;
+
+    bool fail(int line, std::string field, std::string expected) {
+        problems.push_back({file, line, std::move(field), std::move(expected)});
+        return whole = false;
+    }
+    bool convert(const YAML::Node& node, Value& into, int depth) {
+        into.line = node.Mark().line + 1;
+        if (depth > deepest) return fail(into.line, "document", fmt::format("nesting of {} at most", deepest));
+        if (++values > most_values)
+            return fail(into.line, "document", fmt::format("{} values at most, aliases included", most_values));
+        switch (node.Type()) {
+            case YAML::NodeType::Scalar:
+                into.kind = Value::Kind::scalar;
+                into.text = node.Scalar();
+                into.quoted = node.Tag() == "!";
+                return true;
+            case YAML::NodeType::Sequence:
+                into.kind = Value::Kind::sequence;
+                into.items.resize(node.size());
+                for (std::size_t i = 0; const auto& item : node)
+                    if (!convert(item, into.items[i++], depth + 1) && values > most_values) return false;
+                return whole;
+            case YAML::NodeType::Map: return members(node, into, depth);
+            default: return true;
+        }
+    }
+    bool members(const YAML::Node& node, Value& into, int depth) {
+        into.kind = Value::Kind::mapping;
+        into.members.reserve(node.size());
+        std::unordered_set<std::string> names;
+        for (const auto& member : node) {
+            const int line = member.first.Mark().line + 1;
+            if (!member.first.IsScalar()) {
+                fail(line, "mapping", "a name, not a list or mapping, before the colon");
+                continue;
+            }
+            const std::string& name = member.first.Scalar();
+            if (!names.insert(name).second) {
+                fail(line, name, "each name once in a mapping");
+                continue;
+            }
+            into.members.emplace_back(name, Value());
+            Value& value = into.members.back().second;
+            convert(member.second, value, depth + 1);
+            value.line = line;  // where the name stands is where a reader looks
+            if (values > most_values) return false;
+        }
+        return whole;
+    }
+};
+}  // namespace
+
+std::string to_string(const Problem& p) {
+    return p.line > 0 ? fmt::format("{}:{}: {}: expected {}", p.file, p.line, p.field, p.expected)
+                      : fmt::format("{}: {}: expected {}", p.file, p.field, p.expected);
+}
+
+const Value* Value::find(std::string_view name) const {
+    if (!places_.empty()) {
+        const auto it = places_.find(name);
+        return it == places_.end() ? nullptr : &members[it->second].second;
+    }
+    for (const auto& [key, value] : members)
+        if (key == name) return &value;
+    return nullptr;
+}
+
+void Value::index() {
+    if (members.size() > large)
+        for (std::size_t i = 0; i < members.size(); ++i) places_.emplace(members[i].first, i);
+    for (Value& item : items) item.index();
+    for (auto& [name, value] : members) value.index();
+}
+
+bool Value::as(bool& out) const {
+    if (kind != Kind::scalar || quoted || (text != "true" && text != "false")) return false;
+    out = text == "true";
+    return true;
+}
+bool Value::as(double& out) const {
+    if (kind != Kind::scalar || quoted) return false;
+    double value = 0;
+    const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (read.ec != std::errc() || read.ptr != text.data() + text.size() || !std::isfinite(value)) return false;
+    out = value;
+    return true;
+}
+
+bool parse(std::string_view text, const std::string& file, Value& into, std::vector<Problem>& problems) {
+    // JSON is read by the YAML parser too, which knows lines; a JSON parser first refuses what only YAML allows.
+    const std::size_t first = text.find_first_not_of(" \t\r\n");
+    if (first != std::string_view::npos && (text[first] == '{' || text[first] == '[')) {
+        try {
+            [[maybe_unused]] const auto json = nlohmann::json::parse(text);
+        } catch (const nlohmann::json::parse_error& error) {
+            const auto upto = text.substr(0, std::min(text.size(), error.byte));
+            const int line = 1 + static_cast<int>(std::count(upto.begin(), upto.end(), '\n'));
+            problems.push_back({file, line, "document", fmt::format("valid JSON ({})", error.what())});
+            return false;
+        }
+    }
+    try {
+        const std::vector<YAML::Node> documents = YAML::LoadAll(std::string(text));
+        if (documents.size() != 1) {
+            problems.push_back({file, 0, "document", fmt::format("one YAML or JSON document, not {}", documents.size())});
+            return false;
+        }
+        Converter converter{file, problems};
+        const bool whole = converter.convert(documents.front(), into, 0);
+        into.index();
+        return whole;
+    } catch (const YAML::Exception& error) {
+        problems.push_back({file, error.mark.line + 1, "document", fmt::format("valid YAML ({})", error.msg)});
+        return false;
+    }
+}
+
+}  // namespace silverreach::openapi
--- /dev/null
+++ b/standins/server.cpp
@@ -0,0 +1,87 @@
+#include "standins/server.h"
+
+namespace silverreach::standins {
+
+struct Server::Connection : event::StreamOwner, http::Parser::Events {
+    Connection(Server& s, Token t, event::Fd fd)
+        : server(s), token(t), stream(s.loop_, std::move(fd), *this), parser(http::Parser::Kind::request, *this) {
+    }
+    void on_data(std::string_view bytes) override {
+        pending.append(bytes);
+        next();
+    }
+    void next() {
+        if (busy || pending.empty() || stream.closed()) return;
+        const std::string now = std::exchange(pending, {});
+        pending = now.substr(parser.feed(now));
+        if (!parser.done() || busy) return;
+        busy = true;
+        server.handler_(token, head, body);
+    }
+    void on_end() override { over(); }
+    void on_broken(int) override { over(); }
+    bool on_head(http::Head& h) override {
+        head = std::move(h), body.clear();
+        return true;
+    }
+    void on_body(std::string_view bytes) override { body.append(bytes); }
+    void on_message_end(http::Fields&) override {}
+    void on_fault(const http::Fault&) override { over(); }
+    void over() {
+        stream.close();
+        server.bury(token);
+    }
+
+    Server& server;
+    Token token;
+    event::Stream stream;
+    http::Parser parser;
+    http::Head head;
+    std::string body, pending;
+    bool busy = false;
+};
+
+Server::Server(event::Loop& loop, const std::string& ip, int port, Handler handler)
+    : loop_(loop), handler_(std::move(handler)) {
+    listener_ = std::make_unique<event::Listener>(
+        loop, ip, port, ip.find(':') != std::string::npos, [] { return true; },
+        [this](event::Fd fd, std::string) {
+            const Token token = next_++;
+            connections_.emplace(token, std::make_unique<Connection>(*this, token, std::move(fd)));
+        });
+}
+Server::~Server() { alive_.reset(); }
+
+bool Server::answer(Token token, const std::string& bytes, bool close) {
+    const auto it = connections_.find(token);
+    if (it == connections_.end()) return false;
+    Connection& c = *it->second;
+    c.stream.write(bytes);
+    c.busy = false;
+    if (close) {
+        c.stream.end();
+        return true;
+    }
+    c.parser.next();
+    loop_.after(std::chrono::microseconds(0), [this, token, alive = std::weak_ptr<bool>(alive_)] {
+        if (alive.expired()) return;
+        if (const auto again = connections_.find(token); again != connections_.end()) again->second->next();
+    });
+    return true;
+}
+void Server::reset_all() {
+    for (auto& [token, c] : connections_) c->stream.reset();
+    while (!connections_.empty()) bury(connections_.begin()->first);
+}
+void Server::bury(Token token) {
+    const auto it = connections_.find(token);
+    if (it == connections_.end()) return;
+    if (gone_.empty())
+        loop_.after(std::chrono::microseconds(0), [this, alive = std::weak_ptr<bool>(alive_)] {
+            if (!alive.expired()) gone_.clear();
+        });
+    gone_.push_back(std::move(it->second));
+    connections_.erase(it);
+}
+
+}  // namespace silverreach::standins
--- /dev/null
+++ b/standins/server.h
@@ -0,0 +1,38 @@
+// The frame that the HTTP stand-ins share: accepts, reads whole requests one after another, writes answers.
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "event/stream.h"
+#include "http/parser.h"
+
+namespace silverreach::standins {
+
+class Server {
+  public:
+    using Token = std::uint64_t;  // of a connection; an answer to one that is gone is dropped
+    using Handler = std::function<void(Token, const http::Head&, const std::string& body)>;
+
+    Server(event::Loop& loop, const std::string& ip, int port, Handler handler);
+    ~Server();
+    int port() const { return listener_ ? listener_->port() : 0; }
+    bool answer(Token token, const std::string& bytes, bool close);  // false: the connection is gone
+    void reset_all();                                                // breaks every connection
+    std::size_t connections() const { return connections_.size(); }
+
+  private:
+    struct Connection;
+    void bury(Token token);
+    event::Loop& loop_;
+    Handler handler_;
+    std::unordered_map<Token, std::unique_ptr<Connection>> connections_;
+    std::vector<std::unique_ptr<Connection>> gone_;
+    Token next_ = 1;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+    std::unique_ptr<event::Listener> listener_;
+};
+
+}  // namespace silverreach::standins
