Benchmarks: hosts directly, a bare relay and the gateway side by side; the parts of a request

The load generator's own timer spoils the latencies and a used heap hides the idle connections; both are to be mended.

--- /dev/null
+++ b/bench/bare_relay.h
@@ -0,0 +1,36 @@
+// A relay with the gateway's loop, codec and host pool, and no decision at all: what the decisions cost is the
+// difference.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "fronts/http/translate.h"
+#include "upstream/upstream.h"
+
+namespace silverreach::bench {
+
+class BareRelay : private upstream::Events {
+  public:
+    BareRelay(event::Loop& loop, const config::Config& config, std::vector<std::string> hosts);
+    ~BareRelay();
+    int port() const { return listener_->port(); }
+
+  private:
+    struct Connection;
+    bool answer_begins(const core::AttemptKey& key, const std::string&, Micros, const LoadReport&, http::Head& head) override;
+    void answer_body(const core::AttemptKey& key, std::string_view bytes) override;
+    void answer_ended(const core::AttemptKey& key, bool whole, const http::Fields&) override;
+    void attempt_ended(const core::AttemptKey& key, const std::string&, Outcome, Micros, const LoadReport&, int) override;
+    void probe_ended(ProbeEnded) override {}
+    event::Loop& loop_;
+    std::vector<std::string> hosts_;
+    std::unique_ptr<upstream::Upstream> upstream_;
+    std::unordered_map<RequestId, Connection*> by_id_;
+    std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
+    RequestId next_ = 1;
+    std::unique_ptr<event::Listener> listener_;
+};
+
+}  // namespace silverreach::bench
--- /dev/null
+++ b/bench/gateway_bench.cpp
@@ -0,0 +1,172 @@
+// Side by side in one run on one machine: hosts directly, a bare relay, and the gateway; throughput on one core,
+// added latency at half load, and memory of an idle connection.
+#include <fmt/format.h>
+#include <fcntl.h>
+#include <sched.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <fstream>
+#include <functional>
+#include <iostream>
+#include <sstream>
+
+#include "bare_relay.h"
+#include "cli/instance.h"
+#include "load.h"
+
+using namespace silverreach;
+using namespace std::chrono_literals;
+
+namespace {
+constexpr int hosts = 4, rounds = 3;
+
+void pin(int core) {
+    cpu_set_t set;
+    CPU_ZERO(&set);
+    CPU_SET(core % std::max(1, static_cast<int>(sysconf(_SC_NPROCESSORS_ONLN))), &set);
+    sched_setaffinity(0, sizeof set, &set);
+}
+
+// A server in a process of its own, on a core of its own; tells its port through a pipe.
+struct Child {
+    pid_t pid = 0;
+    int port = 0;
+    Child(int core, const std::function<void(event::Loop&, const std::function<void(int)>&)>& body) {
+        int ends[2];
+        if (pipe(ends) != 0) throw std::runtime_error("no pipe");
+        pid = fork();
+        if (pid == 0) {
+            signal(SIGPIPE, SIG_IGN);
+            pin(core);
+            event::Loop loop;
+            body(loop, [&](int p) { (void)!write(ends[1], &p, sizeof p); });
+            _exit(0);
+        }
+        close(ends[1]);
+        if (read(ends[0], &port, sizeof port) != sizeof port) throw std::runtime_error("a server did not start");
+        close(ends[0]);
+    }
+    ~Child() {
+        kill(pid, SIGKILL);
+        waitpid(pid, nullptr, 0);
+    }
+    double cpu_seconds() const {  // user and system
+        std::ifstream in(fmt::format("/proc/{}/stat", pid));
+        std::string text((std::istreambuf_iterator<char>(in)), {});
+        std::istringstream rest(text.substr(text.rfind(')') + 2));
+        std::string skip;
+        for (int i = 0; i < 11; ++i) rest >> skip;
+        double user = 0, system = 0;
+        rest >> user >> system;
+        return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+    }
+    long resident_kib() const {
+        std::ifstream in(fmt::format("/proc/{}/status", pid));
+        for (std::string line; std::getline(in, line);)
+            if (line.starts_with("VmRSS:")) return std::atol(line.c_str() + 6);
+        return 0;
+    }
+};
+
+std::unique_ptr<config::Config> config_for(const std::string& folder) {
+    const std::string text = R"(listen { address: "127.0.0.1:0" }
+api { description: "api.yaml" }
+class { name: "read" aim_ms: 800 deadline_ms: 2000 }
+plan { name: "basic" rate: 1000000 burst: 1000000 }
+account { name: "birds" plan: "basic" key: "k1" }
+hosts { file: "hosts.json" max_connections: 256 }
+attempts { most: 3 second_copies: true }
+log { level: WARNING }
+seed: 1
+)";
+    std::ofstream(folder + "/api.yaml") << "openapi: 3.1.0\nx-silverreach-class: read\nx-silverreach-units: 1\n"
+                                           "components: {securitySchemes: {k: {type: apiKey, in: header, name: X-Key}}}\nsecurity: [{k: []}]\n"
+                                           "paths:\n  /sites/{id}/tally: {get: {parameters: [{name: id, in: path}]}}\n";
+    std::vector<openapi::Problem> problems;
+    auto config = config::parse(text, "bench", problems);
+    for (const auto& p : problems) std::cerr << openapi::to_string(p) << "\n";
+    return config;
+}
+}  // namespace
+
+int main() {
+    char name[] = "/tmp/silverreach-bench-XXXXXX";
+    const std::string folder = mkdtemp(name);
+    rlimit limit{};
+    getrlimit(RLIMIT_NOFILE, &limit);
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+    const auto config = config_for(folder);
+    if (!config) return 1;
+    std::vector<std::unique_ptr<Child>> backs;
+    std::vector<std::string> addresses;
+    std::string list;
+    for (int i = 0; i < hosts; ++i) {
+        backs.push_back(std::make_unique<Child>(1, [](event::Loop& loop, const std::function<void(int)>& tell) {
+            bench::FixedHost host(loop, 200);
+            tell(host.port());
+            loop.run();
+        }));
+        addresses.push_back(fmt::format("127.0.0.1:{}", backs.back()->port));
+        list += fmt::format("{}{{\"endpoint\":{{\"address\":{{\"socketAddress\":{{\"address\":\"127.0.0.1\",\"portValue\":{}}}}}}}}}", i ? "," : "", backs.back()->port);
+    }
+    std::ofstream(folder + "/hosts.json") << "{\"clusterName\":\"hosts\",\"endpoints\":[{\"lbEndpoints\":[" << list << "]}]}";
+    Child relay(0, [&](event::Loop& loop, const std::function<void(int)>& tell) {
+        bench::BareRelay bare(loop, *config, addresses);
+        tell(bare.port());
+        loop.run();
+    });
+    Child gateway(0, [&](event::Loop& loop, const std::function<void(int)>& tell) {
+        log::Log log(log::Form::json, log::Level::warning, folder + "/log");
+        cli::Instance instance(loop, *config, folder, log);
+        tell(instance.port());
+        loop.run();
+    });
+    pin(2);
+    bench::Load load;
+    load.request = "GET /sites/merja/tally HTTP/1.1\r\nHost: birds\r\nX-Key: k1\r\nAccept: application/json\r\nUser-Agent: bench\r\n\r\n";
+    struct Target {
+        const char* name;
+        int port;
+        const Child* child;
+        double best = 0, cpu_us = 0;
+    } targets[] = {{"host directly", backs[0]->port, backs[0].get()}, {"bare relay", relay.port, &relay}, {"gateway", gateway.port, &gateway}};
+    std::cout << fmt::format("{} connections, {} hosts, 200-byte answers; best of {} rounds\n", load.connections, hosts, rounds);
+    for (int round = 0; round < rounds; ++round)
+        for (Target& t : targets) {
+            load.port = t.port;
+            const double before = t.child->cpu_seconds();
+            const auto r = bench::run(load);
+            const double cpu = (t.child->cpu_seconds() - before) * r.seconds / (r.seconds + 0.5);
+            if (r.bad) std::cout << fmt::format("{}: {} bad answers\n", t.name, r.bad);
+            if (r.rate() > t.best) t.best = r.rate(), t.cpu_us = cpu / static_cast<double>(r.answers) * 1e6;
+        }
+    for (const Target& t : targets)
+        std::cout << fmt::format("{:<14}{:>9.0f} requests/s {:>7.1f} us CPU a request {:>7.2f} of the bare relay\n", t.name, t.best, t.cpu_us, t.best / targets[1].best);
+    load.rate = targets[2].best / 2;
+    std::cout << fmt::format("at {:.0f} requests/s, half of the gateway's:\n", load.rate);
+    double p99[3] = {};
+    for (int i = 0; i < 3; ++i) {
+        load.port = targets[i].port;
+        const auto r = bench::run(load);
+        p99[i] = r.percentile(0.99);
+        std::cout << fmt::format("{:<14}p50 {:>6.0f} us  p99 {:>6.0f} us  p99.9 {:>6.0f} us\n", targets[i].name, r.percentile(0.5), p99[i], r.percentile(0.999));
+    }
+    std::cout << fmt::format("added at the 99th percentile: {:.0f} us against the host, {:.0f} us against the relay\n", p99[2] - p99[0], p99[2] - p99[1]);
+
+    const long before = gateway.resident_kib();
+    std::vector<event::Fd> idle;
+    for (int i = 0; i < 9000; ++i) {
+        int error = 0;
+        idle.push_back(event::connect_to("127.0.0.1", gateway.port, false, error));
+        if (i % 100 == 0) usleep(5000);
+    }
+    usleep(500'000);
+    std::cout << fmt::format("idle connection: {:.1f} KiB resident each, over {}\n", static_cast<double>(gateway.resident_kib() - before) / static_cast<double>(idle.size()), idle.size());
+    std::system(("rm -rf '" + folder + "'").c_str());
+    return 0;
+}
--- /dev/null
+++ b/bench/load.h
@@ -0,0 +1,46 @@
+// A light load generator and host for measuring: fixed requests over kept connections, latencies kept exactly.
+#pragma once
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "event/stream.h"
+
+namespace silverreach::bench {
+
+using Micros = std::chrono::microseconds;
+
+// Answers every request head with the same bytes.
+class FixedHost {
+  public:
+    FixedHost(event::Loop& loop, std::size_t body);
+    ~FixedHost();
+    int port() const { return listener_->port(); }
+
+  private:
+    struct Connection;
+    event::Loop& loop_;
+    std::string answer_;
+    std::vector<std::unique_ptr<Connection>> connections_;
+    std::unique_ptr<event::Listener> listener_;
+};
+
+struct Result {
+    double seconds = 0;
+    std::uint64_t answers = 0, bad = 0;
+    std::vector<double> micros;  // latencies, sorted
+    double percentile(double p) const;
+    double rate() const { return static_cast<double>(answers) / seconds; }
+};
+
+struct Load {
+    int port = 0;
+    int connections = 64;
+    double rate = 0;  // requests a second in all; 0: each connection sends as soon as it is answered
+    Micros warm_up{500'000}, span{3'000'000};
+    std::string request;
+};
+Result run(const Load& load);
+
+}  // namespace silverreach::bench
--- /dev/null
+++ b/bench/parts_bench.cpp
@@ -0,0 +1,134 @@
+// CPU of the parts of a request, one beside the other: module, core with module, codec; and descriptions' load and
+// look-up as they grow.
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+#include "core/core.h"
+#include "fronts/http/translate.h"
+#include "openapi/description.h"
+
+using namespace silverreach;
+using namespace std::chrono_literals;
+
+namespace {
+Settings settings() {
+    Settings s;
+    s.classes = {{"read", Effect::safe, RepeatScope::all, 800ms, 2s}};
+    s.plans = {{"plan", 1e6, 1e6}};
+    s.max_attempts = 3, s.second_copies = s.may_cancel = true;
+    s.tick = 4ms;
+    return s;
+}
+HostsChanged hosts(int n) {
+    HostsChanged change{true, {}};
+    for (int i = 0; i < n; ++i) change.entries.push_back({fmt::format("127.0.0.1:{}", 9000 + i)});
+    return change;
+}
+struct Null : core::Outside {
+    core::AttemptKey key;
+    std::string host;
+    std::vector<core::Timer> timers;
+    void start_timer(Micros, core::Timer t) override { timers.push_back(t); }
+    void send(const core::AttemptKey& k, const std::string& h) override { key = k, host = h; }
+    void cancel(const core::AttemptKey&) override {}
+    void probe(const std::string&) override {}
+    void tell(int, const std::string&) override {}
+    void finish(RequestId, const core::Final&) override {}
+    void cut(RequestId) override {}
+};
+
+void module_alone(benchmark::State& state) {
+    Micros now = 1s;
+    Gateway gateway(settings(), 1, now);
+    std::vector<Action> actions;
+    gateway.handle(now, hosts(static_cast<int>(state.range(0))), actions);
+    RequestId id = 1;
+    for (auto _ : state) {
+        now += 50us;
+        actions.clear();
+        gateway.handle(now, RequestArrived{id, "birds", 0, 0, 1, 2s, 1, 0}, actions);
+        std::string host;
+        for (const Action& a : actions)
+            if (const auto* send = std::get_if<SendAttempt>(&a)) host = send->host;
+        gateway.handle(now + 20us, AttemptEnded{id, 0, host, Outcome::good, 20us, true, 0, {}}, actions);
+        ++id;
+    }
+}
+BENCHMARK(module_alone)->Arg(4)->Arg(32)->Arg(256);
+
+void core_with_module(benchmark::State& state) {
+    Micros now = 1s;
+    Null out;
+    core::Core core(settings(), 0, 1, now, out);
+    core.hosts_changed(now, hosts(static_cast<int>(state.range(0))));
+    for (auto _ : state) {
+        now += 50us;
+        out.timers.clear();
+        const RequestId id = core.next_id();
+        core.take(now, id, {"birds", 0, 0, 1, 2s});
+        core.answer_begins(now + 20us, out.key, out.host, 20us, {});
+        core.answer_ended(now + 20us, id, true);
+    }
+}
+BENCHMARK(core_with_module)->Arg(4)->Arg(32)->Arg(256);
+
+struct Sink : http::Parser::Events {
+    http::Head head;
+    bool on_head(http::Head& h) override { return head = std::move(h), true; }
+    void on_body(std::string_view) override {}
+    void on_message_end(http::Fields&) override {}
+    void on_fault(const http::Fault&) override {}
+};
+void codec(benchmark::State& state) {
+    const std::string request = "GET /sites/merja/tally HTTP/1.1\r\nHost: birds\r\nX-Key: k1\r\nAccept: application/json\r\nUser-Agent: bench\r\n\r\n";
+    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 200\r\n\r\n" + std::string(200, 'x');
+    Sink in, out;
+    http::Parser requests(http::Parser::Kind::request, in), answers(http::Parser::Kind::response, out);
+    fronts::http::Framing framing;
+    std::uint64_t n = 1;
+    for (auto _ : state) {
+        requests.feed(request);
+        requests.next();
+        const auto identity = fronts::http::identity_of(in.head, [&] { return n++; });
+        benchmark::DoNotOptimize(fronts::http::head_for_host(in.head, "/sites/merja/tally", identity, "127.0.0.1", "silverreach-0", 0));
+        answers.feed(answer);
+        answers.next();
+        benchmark::DoNotOptimize(fronts::http::head_for_client(out.head, {}, identity.request_id, "silverreach-0", framing));
+    }
+}
+BENCHMARK(codec);
+
+std::string description(int paths) {
+    std::string text = "openapi: 3.1.0\nx-silverreach-class: read\ncomponents:\n  parameters:\n    id: {name: id, in: path, required: true, schema: {type: string}}\npaths:\n";
+    for (int i = 0; i < paths; ++i)
+        text += fmt::format("  /group{}/thing{}/{{id}}/part:\n    parameters: [{{$ref: '#/components/parameters/id'}}]\n"
+                            "    get:\n      operationId: get{}\n      x-silverreach-units: 2\n      responses: {{'200': {{description: good}}}}\n"
+                            "    post:\n      operationId: post{}\n      x-silverreach-units: 3\n      responses: {{'201': {{description: good}}}}\n", i % 17, i, i, i);
+    return text;
+}
+void load_description(benchmark::State& state) {
+    const std::string text = description(static_cast<int>(state.range(0)));
+    for (auto _ : state) {
+        std::vector<openapi::Problem> problems;
+        if (!openapi::load(text, "x", {}, problems)) state.SkipWithError("bad description");
+    }
+}
+BENCHMARK(load_description)->Arg(100)->Arg(1000)->Unit(benchmark::kMillisecond);
+
+void look_up(benchmark::State& state) {
+    std::vector<openapi::Problem> problems;
+    const int n = static_cast<int>(state.range(0));
+    const auto d = openapi::load(description(n), "x", {}, problems);
+    std::vector<std::string> paths;
+    for (int i = 0; i < 64; ++i) paths.push_back(fmt::format("/group{}/thing{}/abc/part", i * n / 64 % 17, i * n / 64));
+    std::size_t i = 0;
+    for (auto _ : state) {
+        const auto found = d->table.find(openapi::Method::get, paths[i++ % paths.size()]);
+        if (!found.route) state.SkipWithError("no route");
+        benchmark::DoNotOptimize(found);
+    }
+}
+BENCHMARK(look_up)->Arg(64)->Arg(1000)->Arg(10000);
+}  // namespace
+
+BENCHMARK_MAIN();
