--- a/bench/bare_relay.h
+++ b/bench/bare_relay.h
@@ -1,5 +1,5 @@
-// A relay with the gateway's loop, codec and host pool, and no decision at all: what the decisions cost is the
-// difference.
+// A relay with the gateway's loop, codec and host pool, and no decision at all: what the decisions cost is
+// the difference.
 #pragma once
 
 #include <memory>
@@ -19,10 +19,12 @@
 
   private:
     struct Connection;
-    bool answer_begins(const core::AttemptKey& key, const std::string&, Micros, const LoadReport&, http::Head& head) override;
+    bool answer_begins(const core::AttemptKey& key, const std::string&, Micros, const LoadReport&,
+                       http::Head& head) override;
     void answer_body(const core::AttemptKey& key, std::string_view bytes) override;
     void answer_ended(const core::AttemptKey& key, bool whole, const http::Fields&) override;
-    void attempt_ended(const core::AttemptKey& key, const std::string&, Outcome, Micros, const LoadReport&, int) override;
+    void attempt_ended(const core::AttemptKey& key, const std::string&, Outcome, Micros, const LoadReport&,
+                       int) override;
     void probe_ended(ProbeEnded) override {}
     event::Loop& loop_;
     std::vector<std::string> hosts_;
--- a/bench/gateway_bench.cpp
+++ b/bench/gateway_bench.cpp
@@ -1,7 +1,7 @@
-// Side by side in one run on one machine: hosts directly, a bare relay, and the gateway; throughput on one core,
-// added latency at half load, and memory of an idle connection.
-#include <fmt/format.h>
+// Side by side in one run on one machine: hosts directly, a bare relay, and the gateway; throughput on one
+// core, added latency at half load, and memory of an idle connection.
 #include <fcntl.h>
+#include <fmt/format.h>
 #include <sched.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -48,7 +48,8 @@
             _exit(0);
         }
         close(ends[1]);
-        if (read(ends[0], &port, sizeof port) != sizeof port) throw std::runtime_error("a server did not start");
+        if (read(ends[0], &port, sizeof port) != sizeof port)
+            throw std::runtime_error("a server did not start");
         close(ends[0]);
     }
     ~Child() {
@@ -84,9 +85,11 @@
 log { level: WARNING }
 seed: 1
 )";
-    std::ofstream(folder + "/api.yaml") << "openapi: 3.1.0\nx-silverreach-class: read\nx-silverreach-units: 1\n"
-                                           "components: {securitySchemes: {k: {type: apiKey, in: header, name: X-Key}}}\nsecurity: [{k: []}]\n"
-                                           "paths:\n  /sites/{id}/tally: {get: {parameters: [{name: id, in: path}]}}\n";
+    std::ofstream(folder + "/api.yaml")
+        << "openapi: 3.1.0\nx-silverreach-class: read\nx-silverreach-units: 1\n"
+           "components: {securitySchemes: {k: {type: apiKey, in: header, name: X-Key}}}\nsecurity: [{k: "
+           "[]}]\n"
+           "paths:\n  /sites/{id}/tally: {get: {parameters: [{name: id, in: path}]}}\n";
     std::vector<openapi::Problem> problems;
     auto config = config::parse(text, "bench", problems);
     for (const auto& p : problems) std::cerr << openapi::to_string(p) << "\n";
@@ -107,37 +110,67 @@
     std::vector<std::string> addresses;
     std::string list;
     for (int i = 0; i < hosts; ++i) {
-        backs.push_back(std::make_unique<Child>(1, [](event::Loop& loop, const std::function<void(int)>& tell) {
-            bench::FixedHost host(loop, 200);
-            tell(host.port());
-            loop.run();
-        }));
+        backs.push_back(
+            std::make_unique<Child>(1, [](event::Loop& loop, const std::function<void(int)>& tell) {
+                bench::FixedHost host(loop, 200);
+                tell(host.port());
+                loop.run();
+            }));
         addresses.push_back(fmt::format("127.0.0.1:{}", backs.back()->port));
-        list += fmt::format("{}{{\"endpoint\":{{\"address\":{{\"socketAddress\":{{\"address\":\"127.0.0.1\",\"portValue\":{}}}}}}}}}", i ? "," : "", backs.back()->port);
+        list += fmt::format(
+            "{}{{\"endpoint\":{{\"address\":{{\"socketAddress\":{{\"address\":\"127.0.0.1\",\"portValue\":{}}"
+            "}}}}}}}",
+            i ? "," : "", backs.back()->port);
     }
-    std::ofstream(folder + "/hosts.json") << "{\"clusterName\":\"hosts\",\"endpoints\":[{\"lbEndpoints\":[" << list << "]}]}";
-    Child relay(0, [&](event::Loop& loop, const std::function<void(int)>& tell) {
-        bench::BareRelay bare(loop, *config, addresses);
-        tell(bare.port());
-        loop.run();
-    });
+    std::ofstream(folder + "/hosts.json")
+        << "{\"clusterName\":\"hosts\",\"endpoints\":[{\"lbEndpoints\":[" << list << "]}]}";
     const auto start_gateway = [&](event::Loop& loop, const std::function<void(int)>& tell) {
         log::Log log(log::Form::json, log::Level::warning, folder + "/log");
         cli::Instance instance(loop, *config, folder, log);
         tell(instance.port());
         loop.run();
     };
+    // First, while this process is small: what a fork inherits would hide what connections take.
+    {
+        Child fresh(0, start_gateway);
+        const long before = fresh.resident_kib();
+        std::vector<event::Fd> idle;
+        for (int i = 0; i < 9000; ++i) {
+            int error = 0;
+            idle.push_back(event::connect_to("127.0.0.1", fresh.port, false, error));
+            if (i % 100 == 0) usleep(5000);
+        }
+        usleep(500'000);
+        int taken = 0;
+        for (const auto& entry : std::filesystem::directory_iterator(fmt::format("/proc/{}/fd", fresh.pid)))
+            (void)entry, ++taken;
+        if (taken < 9000) std::cout << "only " << taken << " descriptors open at the gateway\n";
+        std::cout << fmt::format(
+            "idle connection: {:.1f} KiB resident each, over {}\n",
+            static_cast<double>(fresh.resident_kib() - before) / static_cast<double>(idle.size()),
+            idle.size());
+    }
+    Child relay(0, [&](event::Loop& loop, const std::function<void(int)>& tell) {
+        bench::BareRelay bare(loop, *config, addresses);
+        tell(bare.port());
+        loop.run();
+    });
     Child gateway(0, start_gateway);
     pin(2);
     bench::Load load;
-    load.request = "GET /sites/merja/tally HTTP/1.1\r\nHost: birds\r\nX-Key: k1\r\nAccept: application/json\r\nUser-Agent: bench\r\n\r\n";
+    load.request =
+        "GET /sites/merja/tally HTTP/1.1\r\nHost: birds\r\nX-Key: k1\r\nAccept: "
+        "application/json\r\nUser-Agent: bench\r\n\r\n";
     struct Target {
         const char* name;
         int port;
         const Child* child;
         double best = 0, cpu_us = 0;
-    } targets[] = {{"host directly", backs[0]->port, backs[0].get()}, {"bare relay", relay.port, &relay}, {"gateway", gateway.port, &gateway}};
-    std::cout << fmt::format("{} connections, {} hosts, 200-byte answers; best of {} rounds\n", load.connections, hosts, rounds);
+    } targets[] = {{"host directly", backs[0]->port, backs[0].get()},
+                   {"bare relay", relay.port, &relay},
+                   {"gateway", gateway.port, &gateway}};
+    std::cout << fmt::format("{} connections, {} hosts, 200-byte answers; best of {} rounds\n",
+                             load.connections, hosts, rounds);
     for (int round = 0; round < rounds; ++round)
         for (Target& t : targets) {
             load.port = t.port;
@@ -148,7 +181,9 @@
             if (r.rate() > t.best) t.best = r.rate(), t.cpu_us = cpu / static_cast<double>(r.answers) * 1e6;
         }
     for (const Target& t : targets)
-        std::cout << fmt::format("{:<14}{:>9.0f} requests/s {:>7.1f} us CPU a request {:>7.2f} of the bare relay\n", t.name, t.best, t.cpu_us, t.best / targets[1].best);
+        std::cout << fmt::format(
+            "{:<14}{:>9.0f} requests/s {:>7.1f} us CPU a request {:>7.2f} of the bare relay\n", t.name,
+            t.best, t.cpu_us, t.best / targets[1].best);
     load.rate = targets[2].best / 2;
     std::cout << fmt::format("at {:.0f} requests/s, half of the gateway's:\n", load.rate);
     double p99[3] = {};
@@ -156,23 +191,13 @@
         load.port = targets[i].port;
         const auto r = bench::run(load);
         p99[i] = r.percentile(0.99);
-        std::cout << fmt::format("{:<14}p50 {:>6.0f} us  p99 {:>6.0f} us  p99.9 {:>6.0f} us\n", targets[i].name, r.percentile(0.5), p99[i], r.percentile(0.999));
+        std::cout << fmt::format("{:<14}p50 {:>6.0f} us  p99 {:>6.0f} us  p99.9 {:>6.0f} us\n",
+                                 targets[i].name, r.percentile(0.5), p99[i], r.percentile(0.999));
     }
-    std::cout << fmt::format("added at the 99th percentile: {:.0f} us against the host, {:.0f} us against the relay\n", p99[2] - p99[0], p99[2] - p99[1]);
+    std::cout << fmt::format(
+        "added at the 99th percentile: {:.0f} us against the host, {:.0f} us against the relay\n",
+        p99[2] - p99[0], p99[2] - p99[1]);
 
-    Child fresh(0, start_gateway);
-    const long before = fresh.resident_kib();
-    std::vector<event::Fd> idle;
-    for (int i = 0; i < 9000; ++i) {
-        int error = 0;
-        idle.push_back(event::connect_to("127.0.0.1", fresh.port, false, error));
-        if (i % 100 == 0) usleep(5000);
-    }
-    usleep(500'000);
-    int taken = 0;
-    for (const auto& entry : std::filesystem::directory_iterator(fmt::format("/proc/{}/fd", fresh.pid))) (void)entry, ++taken;
-    if (taken < 9000) std::cout << "only " << taken << " descriptors open at the gateway\n";
-    std::cout << fmt::format("idle connection: {:.1f} KiB resident each, over {}\n", static_cast<double>(fresh.resident_kib() - before) / static_cast<double>(idle.size()), idle.size());
     std::system(("rm -rf '" + folder + "'").c_str());
     return 0;
 }
--- a/bench/load.cpp
+++ b/bench/load.cpp
@@ -23,16 +23,20 @@
 };
 
 FixedHost::FixedHost(event::Loop& loop, std::size_t body) : loop_(loop) {
-    answer_ = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body) + "\r\n\r\n" + std::string(body, 'x');
-    listener_ = std::make_unique<event::Listener>(loop, "127.0.0.1", 0, false, [] { return true; }, [this](event::Fd fd, std::string) {
-        connections_.push_back(std::make_unique<Connection>(*this, std::move(fd)));
-    });
+    answer_ = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: " + std::to_string(body) +
+              "\r\n\r\n" + std::string(body, 'x');
+    listener_ = std::make_unique<event::Listener>(
+        loop, "127.0.0.1", 0, false, [] { return true; },
+        [this](event::Fd fd, std::string) {
+            connections_.push_back(std::make_unique<Connection>(*this, std::move(fd)));
+        });
 }
 FixedHost::~FixedHost() = default;
 
 double Result::percentile(double p) const {
     if (micros.empty()) return 0;
-    return micros[std::min(micros.size() - 1, static_cast<std::size_t>(p * static_cast<double>(micros.size())))];
+    return micros[std::min(micros.size() - 1,
+                           static_cast<std::size_t>(p * static_cast<double>(micros.size())))];
 }
 
 namespace {
@@ -41,7 +45,8 @@
         Generator& g;
         event::Stream stream;
         std::string pending;
-        std::deque<Micros> due;  // when the request in hand should have left, which counts waiting for a connection
+        std::deque<Micros>
+            due;  // when the request in hand should have left, which counts waiting for a connection
         Connection(Generator& gen, event::Fd fd) : g(gen), stream(gen.loop, std::move(fd), *this, true) {}
         void begin(Micros at) {
             due.push_back(at);
@@ -55,7 +60,8 @@
             const std::size_t head = pending.find("\r\n\r\n");
             if (head == std::string::npos) return;
             const std::size_t length = pending.find("Content-Length: ");
-            const std::size_t body = length < head ? std::strtoul(pending.c_str() + length + 16, nullptr, 10) : 0;
+            const std::size_t body =
+                length < head ? std::strtoul(pending.c_str() + length + 16, nullptr, 10) : 0;
             if (pending.size() < head + 4 + body) return;
             g.answered(due.front(), pending.compare(9, 3, "200") == 0);
             due.pop_front();
@@ -105,14 +111,16 @@
     Result run() {
         for (int i = 0; i < load.connections; ++i) {
             int error = 0;
-            connections.push_back(std::make_unique<Connection>(*this, event::connect_to("127.0.0.1", load.port, false, error)));
+            connections.push_back(
+                std::make_unique<Connection>(*this, event::connect_to("127.0.0.1", load.port, false, error)));
             idle.push_back(connections.back().get());
         }
         begin = next = event::Loop::clock();
-        if (load.rate > 0) loop.after(Micros(20'000), [this] {
-            next = event::Loop::clock();
-            tick();
-        });
+        if (load.rate > 0)
+            loop.after(Micros(20'000), [this] {
+                next = event::Loop::clock();
+                tick();
+            });
         loop.after(load.warm_up + load.span, [this] { loop.stop(); });
         loop.run();
         result.seconds = static_cast<double>(load.span.count()) / 1e6;
--- a/bench/load.h
+++ b/bench/load.h
@@ -1,4 +1,5 @@
-// A light load generator and host for measuring: fixed requests over kept connections, latencies kept exactly.
+// A light load generator and host for measuring: fixed requests over kept connections, latencies kept
+// exactly.
 #pragma once
 
 #include <memory>
--- a/bench/parts_bench.cpp
+++ b/bench/parts_bench.cpp
@@ -1,5 +1,5 @@
-// CPU of the parts of a request, one beside the other: module, core with module, codec; and descriptions' load and
-// look-up as they grow.
+// CPU of the parts of a request, one beside the other: module, core with module, codec; and descriptions'
+// load and look-up as they grow.
 #include <benchmark/benchmark.h>
 #include <fmt/format.h>
 
@@ -80,8 +80,11 @@
     void on_fault(const http::Fault&) override {}
 };
 void codec(benchmark::State& state) {
-    const std::string request = "GET /sites/merja/tally HTTP/1.1\r\nHost: birds\r\nX-Key: k1\r\nAccept: application/json\r\nUser-Agent: bench\r\n\r\n";
-    const std::string answer = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 200\r\n\r\n" + std::string(200, 'x');
+    const std::string request =
+        "GET /sites/merja/tally HTTP/1.1\r\nHost: birds\r\nX-Key: k1\r\nAccept: "
+        "application/json\r\nUser-Agent: bench\r\n\r\n";
+    const std::string answer =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nContent-Length: 200\r\n\r\n" + std::string(200, 'x');
     Sink in, out;
     http::Parser requests(http::Parser::Kind::request, in), answers(http::Parser::Kind::response, out);
     fronts::http::Framing framing;
@@ -90,20 +93,28 @@
         requests.feed(request);
         requests.next();
         const auto identity = fronts::http::identity_of(in.head, [&] { return n++; });
-        benchmark::DoNotOptimize(fronts::http::head_for_host(in.head, "/sites/merja/tally", identity, "127.0.0.1", "silverreach-0", 0));
+        benchmark::DoNotOptimize(fronts::http::head_for_host(in.head, "/sites/merja/tally", identity,
+                                                             "127.0.0.1", "silverreach-0", 0));
         answers.feed(answer);
         answers.next();
-        benchmark::DoNotOptimize(fronts::http::head_for_client(out.head, {}, identity.request_id, "silverreach-0", framing));
+        benchmark::DoNotOptimize(
+            fronts::http::head_for_client(out.head, {}, identity.request_id, "silverreach-0", framing));
     }
 }
 BENCHMARK(codec);
 
 std::string description(int paths) {
-    std::string text = "openapi: 3.1.0\nx-silverreach-class: read\ncomponents:\n  parameters:\n    id: {name: id, in: path, required: true, schema: {type: string}}\npaths:\n";
+    std::string text =
+        "openapi: 3.1.0\nx-silverreach-class: read\ncomponents:\n  parameters:\n    id: {name: id, in: path, "
+        "required: true, schema: {type: string}}\npaths:\n";
     for (int i = 0; i < paths; ++i)
-        text += fmt::format("  /group{}/thing{}/{{id}}/part:\n    parameters: [{{$ref: '#/components/parameters/id'}}]\n"
-                            "    get:\n      operationId: get{}\n      x-silverreach-units: 2\n      responses: {{'200': {{description: good}}}}\n"
-                            "    post:\n      operationId: post{}\n      x-silverreach-units: 3\n      responses: {{'201': {{description: good}}}}\n", i % 17, i, i, i);
+        text += fmt::format(
+            "  /group{}/thing{}/{{id}}/part:\n    parameters: [{{$ref: '#/components/parameters/id'}}]\n"
+            "    get:\n      operationId: get{}\n      x-silverreach-units: 2\n      responses: {{'200': "
+            "{{description: good}}}}\n"
+            "    post:\n      operationId: post{}\n      x-silverreach-units: 3\n      responses: {{'201': "
+            "{{description: good}}}}\n",
+            i % 17, i, i, i);
     return text;
 }
 void load_description(benchmark::State& state) {
@@ -120,7 +131,8 @@
     const int n = static_cast<int>(state.range(0));
     const auto d = openapi::load(description(n), "x", {}, problems);
     std::vector<std::string> paths;
-    for (int i = 0; i < 64; ++i) paths.push_back(fmt::format("/group{}/thing{}/abc/part", i * n / 64 % 17, i * n / 64));
+    for (int i = 0; i < 64; ++i)
+        paths.push_back(fmt::format("/group{}/thing{}/abc/part", i * n / 64 % 17, i * n / 64));
     std::size_t i = 0;
     for (auto _ : state) {
         const auto found = d->table.find(openapi::Method::get, paths[i++ % paths.size()]);
--- a/drill/commands.cpp
+++ b/drill/commands.cpp
@@ -8,7 +8,9 @@
 #include <iostream>
 #include <sstream>
 
+#include "config/config.h"
 #include "drill/drill.h"
+#include "standins/relay.h"
 #include "standins/roster.h"
 
 namespace silverreach::drill {
@@ -43,10 +45,13 @@
     } else {
         mkdir(work.c_str(), 0755);
     }
-    const DayResult day = play(scenario, "/proc/self/exe", folder_of(path), work, [&](const std::string& line) {
-        if (!quiet) std::cerr << line << std::endl;
-    });
-    std::cout << "Who was served, refused and why (tries of clients):\n" << summary(day.records) << "\n" << text_of(day.verdict);
+    const DayResult day =
+        play(scenario, "/proc/self/exe", folder_of(path), work, [&](const std::string& line) {
+            if (!quiet) std::cerr << line << std::endl;
+        });
+    std::cout << "Who was served, refused and why (tries of clients):\n"
+              << summary(day.records) << "\n"
+              << text_of(day.verdict);
     for (const std::string& trouble : day.troubles) std::cout << "TROUBLE " << trouble << "\n";
     const bool good = day.verdict.kept() && day.troubles.empty();
     std::cout << (good ? "VERDICT all rules kept\n" : "VERDICT not kept\n");
@@ -89,6 +94,29 @@
     loop.run();
     return Exit::done;
 }
+int run_relay(const std::vector<std::string>& gateways, double loss, double least_ms, double most_ms) {
+    std::vector<std::pair<std::string, int>> own;
+    for (const std::string& text : gateways) {
+        const auto at = config::parse_endpoint(text);
+        if (!at || at->v6) throw std::runtime_error(text + ": expected an IPv4 address and port");
+        own.emplace_back(at->ip, at->port);
+    }
+    event::Loop loop;
+    standins::Relay relay(loop, own, 1);
+    relay.set(loss, Micros(static_cast<std::int64_t>(least_ms * 1000)),
+              Micros(static_cast<std::int64_t>(most_ms * 1000)));
+    const int n = static_cast<int>(own.size());
+    for (int from = 0; from < n; ++from)
+        for (int to = 0; to < n; ++to)
+            std::cout << fmt::format(
+                "gateway {}: peer {{ rank: {} address: \"{}\" }}\n", from, to,
+                from == to ? gateways[static_cast<std::size_t>(to)] : relay.address(from, to));
+    std::cout << std::flush;
+    event::Signal term(loop, SIGTERM, [&] { loop.stop(); }), interrupt(loop, SIGINT, [&] { loop.stop(); });
+    loop.run();
+    std::cerr << fmt::format("carried {}, lost {}\n", relay.carried(), relay.lost());
+    return Exit::done;
+}
 }  // namespace
 
 void add_commands(CLI::App& app, int& code) {
@@ -98,19 +126,21 @@
         standins::HostSettings host;
         standins::Flow flow;
         double work_ms = 20, cold_ms = 0, deadline_ms = 1000, seconds = 10;
+        double loss = 0, least_ms = 0, most_ms = 0;
         int port = 0;
-        std::vector<std::string> hosts;
+        std::vector<std::string> hosts, gateways;
     };
     auto o = std::make_shared<Options>();
 
-    auto* drill = app.add_subcommand("drill", "Play a scenario on loopback and judge the rules; 1 where one is broken");
+    auto* drill =
+        app.add_subcommand("drill", "Play a scenario on loopback and judge the rules; 1 where one is broken");
     drill->add_option("SCENARIO", o->path, "Scenario, YAML")->required();
     drill->add_option("--work", o->work, "Folder for configurations, logs and records; kept");
     drill->add_flag("--keep", o->keep, "Keep the folder made for the day");
     drill->add_flag("--quiet", o->quiet, "No progress on standard error");
     drill->callback([o, &code] { code = run_drill(o->path, o->work, o->keep, o->quiet); });
 
-    auto* standin = app.add_subcommand("standin", "One stand-in alone: host, client or roster");
+    auto* standin = app.add_subcommand("standin", "One stand-in alone: host, client, relay or roster");
     standin->require_subcommand(1);
     auto* host = standin->add_subcommand("host", "A tally host; records on standard output");
     host->add_option("--port", o->host.port, "0: any");
@@ -125,7 +155,8 @@
         o->host.tally.start_capacity = 0.2;
         code = run_host(o->host, o->cold_ms > 0);
     });
-    auto* client = standin->add_subcommand("client", "Clients of one account; records on standard output, a table at the end");
+    auto* client = standin->add_subcommand(
+        "client", "Clients of one account; records on standard output, a table at the end");
     client->add_option("--port", o->port, "The gateway's")->required();
     client->add_option("--key", o->flow.key)->required();
     client->add_option("--target", o->flow.target);
@@ -144,6 +175,15 @@
     roster->add_option("HOST", o->hosts, "ip:port")->required();
     roster->add_option("--cluster", o->cluster);
     roster->callback([o, &code] { code = run_roster(o->hosts, o->cluster); });
+    auto* relay = standin->add_subcommand(
+        "relay", "Carries gateways' messages; prints what each must have for its peers");
+    relay->add_option("GATEWAY", o->gateways, "Own addresses of the gateways by rank, ip:port")
+        ->required()
+        ->expected(2, 100);
+    relay->add_option("--loss", o->loss, "Share of messages lost")->check(CLI::Range(0.0, 1.0));
+    relay->add_option("--least-delay-ms", o->least_ms)->check(CLI::NonNegativeNumber);
+    relay->add_option("--most-delay-ms", o->most_ms)->check(CLI::NonNegativeNumber);
+    relay->callback([o, &code] { code = run_relay(o->gateways, o->loss, o->least_ms, o->most_ms); });
 }
 
 }  // namespace silverreach::drill
--- a/drill/drill.cpp
+++ b/drill/drill.cpp
@@ -35,7 +35,8 @@
     std::ofstream out(path + ".new", std::ios::binary);
     out << text;
     out.close();
-    if (!out || rename((path + ".new").c_str(), path.c_str()) != 0) throw std::runtime_error(path + ": cannot be written");
+    if (!out || rename((path + ".new").c_str(), path.c_str()) != 0)
+        throw std::runtime_error(path + ": cannot be written");
 }
 
 // One gateway process; its standard output tells the port.
@@ -55,7 +56,8 @@
         posix_spawn_file_actions_adddup2(&actions, writing.get(), 1);
         posix_spawn_file_actions_addopen(&actions, 2, log_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         const char* argv[] = {program_.c_str(), "serve", "--config", config_.c_str(), nullptr};
-        const int error = posix_spawn(&pid_, program_.c_str(), &actions, nullptr, const_cast<char**>(argv), environ);
+        const int error =
+            posix_spawn(&pid_, program_.c_str(), &actions, nullptr, const_cast<char**>(argv), environ);
         posix_spawn_file_actions_destroy(&actions);
         if (error != 0) throw std::runtime_error(program_ + ": cannot be started");
         text_.clear(), port_ = 0;
@@ -66,7 +68,8 @@
             const ssize_t n = ::read(out_.get(), buffer, sizeof buffer);
             if (n > 0) text_.append(buffer, static_cast<std::size_t>(n));
             const std::size_t at = text_.find("port ");
-            if (at != std::string::npos && text_.find('\n', at) != std::string::npos) port_ = std::atoi(text_.c_str() + at + 5);
+            if (at != std::string::npos && text_.find('\n', at) != std::string::npos)
+                port_ = std::atoi(text_.c_str() + at + 5);
         }
         return port_;
     }
@@ -95,13 +98,20 @@
   public:
     Day(const Scenario& s, const std::string& program, const std::string& folder, const std::string& work,
         const std::function<void(const std::string&)>& progress)
-        : s_(s), program_(program), folder_(folder), work_(work), progress_(progress), records_(work + "/records.jsonl"),
-          base_(read_config()), roster_(loop_, base_.hosts().cluster(), Micros(0), records_) {
+        : s_(s),
+          program_(program),
+          folder_(folder),
+          work_(work),
+          progress_(progress),
+          records_(work + "/records.jsonl"),
+          base_(read_config()),
+          roster_(loop_, base_.hosts().cluster(), Micros(0), records_) {
         for (const auto& a : base_.account())
             for (const std::string& key : a.key()) plan_of_[key] = a.plan();
         make_hosts();
         make_gateways();
-        clients_ = std::make_unique<standins::Clients>(loop_, s.seed * 31 + 7, records_, [this] { return ports_; });
+        clients_ =
+            std::make_unique<standins::Clients>(loop_, s.seed * 31 + 7, records_, [this] { return ports_; });
     }
 
     DayResult run() {
@@ -113,8 +123,8 @@
         }
         wait_until(loop_.now() + s_.settle, [] { return false; });
         begin_ = loop_.now();
-        progress_(fmt::format("{} gateways, {} hosts; {:.0f} s of clients begin", gateways_.size(), hosts_.size(),
-                              static_cast<double>(s_.length.count()) / 1e6));
+        progress_(fmt::format("{} gateways, {} hosts; {:.0f} s of clients begin", gateways_.size(),
+                              hosts_.size(), static_cast<double>(s_.length.count()) / 1e6));
         for (const standins::Flow& flow : s_.flows) clients_->run(flow, s_.length);
         for (const Happening& h : s_.happenings) loop_.after(h.at, [this, &h] { happen(h); });
         wait_until(begin_ + s_.length, [] { return false; });
@@ -128,7 +138,8 @@
         google::protobuf::TextFormat::Parser parser;
         parser.AllowPartialMessage(true);
         if (!parser.ParseFromString(read_text(folder_ + "/" + s_.config), &c))
-            throw std::runtime_error(folder_ + "/" + s_.config + ": no valid configuration; 'silverreach check' tells more");
+            throw std::runtime_error(folder_ + "/" + s_.config +
+                                     ": no valid configuration; 'silverreach check' tells more");
         return c;
     }
     void make_hosts() {
@@ -145,13 +156,15 @@
             }
     }
     void list(const standins::Host& host, const char* state) {
-        roster_.set(host.address(), {state, host.settings().zone, host.settings().kind, host.settings().cell, host.started_unix_ms()});
+        roster_.set(host.address(), {state, host.settings().zone, host.settings().kind, host.settings().cell,
+                                     host.started_unix_ms()});
     }
     void make_gateways() {
         std::vector<std::pair<std::string, int>> own;
         // A loopback address for each gateway, so that no other program's ports are in the way.
         const int net = 64 + getpid() % 128, part = getpid() / 128 % 250;
-        for (int i = 0; i < s_.gateways; ++i) own.emplace_back(fmt::format("127.{}.{}.{}", net, part, i + 1), peer_port);
+        for (int i = 0; i < s_.gateways; ++i)
+            own.emplace_back(fmt::format("127.{}.{}.{}", net, part, i + 1), peer_port);
         relay_ = std::make_unique<standins::Relay>(loop_, own, s_.seed + 99);
         relay_->set(s_.loss, s_.least_delay, s_.most_delay);
         write_text(work_ + "/api", read_text(folder_ + "/" + s_.description));
@@ -167,14 +180,17 @@
                 for (int k = 0; k < s_.gateways; ++k) {
                     auto* peer = fleet->add_peer();
                     peer->set_rank(k);
-                    peer->set_address(k == i ? fmt::format("{}:{}", own[static_cast<std::size_t>(i)].first, peer_port) : relay_->address(i, k));
+                    peer->set_address(
+                        k == i ? fmt::format("{}:{}", own[static_cast<std::size_t>(i)].first, peer_port)
+                               : relay_->address(i, k));
                 }
             }
             std::string text;
             google::protobuf::TextFormat::PrintToString(c, &text);
             const std::string path = fmt::format("{}/gateway-{}.textproto", work_, i);
             write_text(path, text);
-            gateways_.push_back(std::make_unique<GatewayProcess>(program_, path, fmt::format("{}/gateway-{}.log", work_, i)));
+            gateways_.push_back(
+                std::make_unique<GatewayProcess>(program_, path, fmt::format("{}/gateway-{}.log", work_, i)));
             ports_.push_back(0);
             wanted_.push_back(false);
         }
@@ -217,7 +233,8 @@
                 say(h, fmt::format("gateway {} killed", which));
                 kill_gateway(which);
                 return after([this, which] { start_gateway(which); });
-            case Deed::start_gateway: return say(h, fmt::format("gateway {} started", which)), start_gateway(which);
+            case Deed::start_gateway:
+                return say(h, fmt::format("gateway {} started", which)), start_gateway(which);
             case Deed::drain_host:
                 say(h, fmt::format("host {} drains", which));
                 list(*hosts_[which], "DRAINING");
@@ -226,7 +243,8 @@
                 say(h, fmt::format("host {} dies", which));
                 kill_host(which);
                 return after([this, which] { start_host(which); });
-            case Deed::start_host: return say(h, fmt::format("host {} starts cold", which)), start_host(which);
+            case Deed::start_host:
+                return say(h, fmt::format("host {} starts cold", which)), start_host(which);
             case Deed::stall_host:
                 say(h, fmt::format("host {} stalls", which));
                 hosts_[which]->stall(true);
@@ -285,7 +303,8 @@
                 if (wanted_[i] && !gateways_[i]->running()) {
                     wanted_[i] = false;
                     ports_[i] = 0;
-                    result_.troubles.push_back(fmt::format("gateway {} ended by itself; see {}/gateway-{}.log", i, work_, i));
+                    result_.troubles.push_back(
+                        fmt::format("gateway {} ended by itself; see {}/gateway-{}.log", i, work_, i));
                 }
             if (loop_.now() >= until || over() || !result_.troubles.empty()) return loop_.stop();
             loop_.after(look_period, look);
@@ -303,7 +322,8 @@
         terms.ceiling_slack = s_.ceiling_slack;
         terms.cold = std::chrono::milliseconds(base_.rules().cold_ms());
         terms.fall_time = std::chrono::milliseconds(base_.rules().fall_ms());
-        terms.start_capacity = base_.rules().start_capacity(), terms.fall_multiple = base_.rules().fall_multiple();
+        terms.start_capacity = base_.rules().start_capacity(),
+        terms.fall_multiple = base_.rules().fall_multiple();
         for (const auto& account : base_.account())
             for (const auto& plan : base_.plan())
                 if (plan.name() == account.plan() && plan.hard_rate() > 0)
@@ -332,8 +352,8 @@
 };
 }  // namespace
 
-DayResult play(const Scenario& scenario, const std::string& program, const std::string& folder, const std::string& work,
-               const std::function<void(const std::string&)>& progress) {
+DayResult play(const Scenario& scenario, const std::string& program, const std::string& folder,
+               const std::string& work, const std::function<void(const std::string&)>& progress) {
     signal(SIGPIPE, SIG_IGN);
     return Day(scenario, program, folder, work, progress).run();
 }
--- a/drill/judge.cpp
+++ b/drill/judge.cpp
@@ -35,7 +35,8 @@
         drains();
         cold_hosts();
         ceilings();
-        for (const auto& [rule, n] : hidden_) verdict_.broken.emplace_back(rule, fmt::format("and {} more", n));
+        for (const auto& [rule, n] : hidden_)
+            verdict_.broken.emplace_back(rule, fmt::format("and {} more", n));
         return std::move(verdict_);
     }
 
@@ -83,7 +84,8 @@
         if (!t.sent) return;
         looked(rule);
         const int gateway = t.sent->value("gateway", 0);
-        const Time begun = at(*t.sent), due = begun + t.sent->value("deadline_us", Time(0)) + terms_.slack.count();
+        const Time begun = at(*t.sent),
+                   due = begun + t.sent->value("deadline_us", Time(0)) + terms_.slack.count();
         if (t.extras) broken(rule, fmt::format("{}: bytes beyond its answer", id));
         if (t.ends.size() > 1) broken(rule, fmt::format("{}: {} ends", id, t.ends.size()));
         const bool excused = away(gateway, begun, due);
@@ -93,7 +95,8 @@
         }
         const json& end = *t.ends.front();
         const std::string what = str(end, "what");
-        // A head that was followed by a break is an answer that failed: it looked at no time like a whole one.
+        // A head that was followed by a break is an answer that failed: it looked at no time like a whole
+        // one.
         const bool final = what == "answer" || (what == "broken" && end.value("head_seen", false));
         if (!final && !excused) broken(rule, fmt::format("{}: {} at gateway {}", id, what, gateway));
         if (final && at(end) > due && !excused)
@@ -106,7 +109,8 @@
     void counted_once(const std::string& id, const TryFacts& t) {
         constexpr Rule rule = Rule::counted_once;
         looked(rule);
-        if (!t.sent && !t.received.empty()) broken(rule, fmt::format("{}: hosts received it, no client sent it", id));
+        if (!t.sent && !t.received.empty())
+            broken(rule, fmt::format("{}: hosts received it, no client sent it", id));
         if (t.sent_times > 1) broken(rule, fmt::format("{}: sent {} times by clients", id, t.sent_times));
         std::set<int> attempts;
         for (const json* r : t.received)
@@ -117,18 +121,20 @@
                 broken(rule, fmt::format("{}: units changed on the way", id));
     }
 
-    // An operation that must not run twice: counted by what hosts ran, whichever try and gateway brought it. And a
-    // refusal says that nothing ran, so no host may have taken an unsafe one before it.
+    // An operation that must not run twice: counted by what hosts ran, whichever try and gateway brought it.
+    // And a refusal says that nothing ran, so no host may have taken an unsafe one before it.
     void effects() {
         constexpr Rule rule = Rule::no_effect_twice;
         std::map<std::string, int> runs;
         for (const json& r : records_)
-            if (str(r, "who") == "host" && str(r, "what") == "ran" && str(r, "effect") != "safe") ++runs[str(r, "op")];
+            if (str(r, "who") == "host" && str(r, "what") == "ran" && str(r, "effect") != "safe")
+                ++runs[str(r, "op")];
         for (const auto& [op, n] : runs) {
             looked(rule);
             if (n > 1) broken(rule, fmt::format("{}: ran {} times", op, n));
         }
-        static const std::set<std::string> refusals = {"quota", "ceiling", "open", "pressed", "no-host", "no-answer", "late"};
+        static const std::set<std::string> refusals = {"quota",   "ceiling",   "open", "pressed",
+                                                       "no-host", "no-answer", "late"};
         for (const auto& [id, t] : tries_) {
             if (!t.sent || str(*t.sent, "effect") != "unsafe") continue;
             looked(rule);
@@ -170,12 +176,14 @@
                 else if (!down) down = t.since;
             }
             if (down && at(r) > *down + terms_.drain_grace.count() + terms_.slack.count())
-                broken(rule, fmt::format("{}: sent to {} by gateway {}, {} ms after it was told", str(r, "id"), str(r, "host"),
-                                         r.value("gateway", 0), (at(r) - *down) / 1000));
+                broken(rule,
+                       fmt::format("{}: sent to {} by gateway {}, {} ms after it was told", str(r, "id"),
+                                   str(r, "host"), r.value("gateway", 0), (at(r) - *down) / 1000));
         }
     }
 
-    // Work received within any window of the fall time, against the multiple of what a cold host can do meanwhile.
+    // Work received within any window of the fall time, against the multiple of what a cold host can do
+    // meanwhile.
     void cold_hosts() {
         constexpr Rule rule = Rule::no_cold_host_pushed_over;
         if (terms_.fall_multiple <= 0) return;
@@ -195,13 +203,17 @@
                 if (t - life.start > terms_.cold.count()) return;
                 looked(rule);
                 sum += work;
-                while (life.arrivals[from].first + terms_.fall_time.count() < t) sum -= life.arrivals[from++].second;
-                const double age = static_cast<double>(t - life.start) / static_cast<double>(terms_.cold.count());
-                const double capacity = life.full * (terms_.start_capacity + (1 - terms_.start_capacity) * age);
+                while (life.arrivals[from].first + terms_.fall_time.count() < t)
+                    sum -= life.arrivals[from++].second;
+                const double age =
+                    static_cast<double>(t - life.start) / static_cast<double>(terms_.cold.count());
+                const double capacity =
+                    life.full * (terms_.start_capacity + (1 - terms_.start_capacity) * age);
                 const double window = static_cast<double>(terms_.fall_time.count()) / 1e6;
                 if (sum > terms_.fall_multiple * capacity * window + 2 * work)
-                    return broken(rule, fmt::format("{}: {:.2f} s of work in {:.1f} s, {:.1f} s after its cold start", host, sum,
-                                                    window, static_cast<double>(t - life.start) / 1e6));
+                    return broken(
+                        rule, fmt::format("{}: {:.2f} s of work in {:.1f} s, {:.1f} s after its cold start",
+                                          host, sum, window, static_cast<double>(t - life.start) / 1e6));
             }
         };
         for (const json& r : records_) {
@@ -246,7 +258,8 @@
             s.at = at(r);
             const double units = r.value("units", 1.0);
             s.level -= units;
-            if (s.level < -std::max(terms_.ceiling_slack * c.burst, units) - 1e-9 && !std::exchange(s.told, true))
+            if (s.level < -std::max(terms_.ceiling_slack * c.burst, units) - 1e-9 &&
+                !std::exchange(s.told, true))
                 broken(rule, fmt::format("{}: {:.1f} units past its ceiling at {}", account, -s.level, id));
         }
     }
@@ -261,8 +274,9 @@
 }  // namespace
 
 std::string_view to_string(Rule rule) {
-    constexpr std::array<std::string_view, rules> names = {"one final answer in time", "no effect twice", "drains kept",
-                                                           "no cold host pushed over", "ceilings kept", "each try counted once"};
+    constexpr std::array<std::string_view, rules> names = {
+        "one final answer in time", "no effect twice", "drains kept",
+        "no cold host pushed over", "ceilings kept",   "each try counted once"};
     return names[static_cast<std::size_t>(rule)];
 }
 bool Verdict::broke(Rule rule) const {
@@ -270,9 +284,8 @@
 }
 
 Verdict judge(std::vector<json> records, const Terms& terms) {
-    std::stable_sort(records.begin(), records.end(), [](const json& a, const json& b) {
-        return a["t"].get<Time>() < b["t"].get<Time>();
-    });
+    std::stable_sort(records.begin(), records.end(),
+                     [](const json& a, const json& b) { return a["t"].get<Time>() < b["t"].get<Time>(); });
     return Judge(records, terms).run();
 }
 
@@ -289,7 +302,11 @@
     for (const json& r : records) {
         if (r.value("who", "") != "client" || r.value("what", "") == "sent") continue;
         std::string how = r.value("what", "");
-        if (how == "answer") how = r.value("status", 0) < 400 ? "served" : r.value("reason", "").empty() || r.value("reason", "") == "blank" ? fmt::format("{}", r.value("status", 0)) : r.value("reason", "");
+        if (how == "answer")
+            how = r.value("status", 0) < 400 ? "served"
+                  : r.value("reason", "").empty() || r.value("reason", "") == "blank"
+                      ? fmt::format("{}", r.value("status", 0))
+                      : r.value("reason", "");
         reasons.insert(how);
         ++by_account[account_of[r.value("id", "")]][how];
     }
--- a/drill/judge.h
+++ b/drill/judge.h
@@ -22,7 +22,14 @@
     std::map<std::string, Ceiling> ceilings;  // by account
 };
 
-enum class Rule { one_answer, no_effect_twice, drains_kept, no_cold_host_pushed_over, ceilings_kept, counted_once };
+enum class Rule {
+    one_answer,
+    no_effect_twice,
+    drains_kept,
+    no_cold_host_pushed_over,
+    ceilings_kept,
+    counted_once
+};
 inline constexpr int rules = 6;
 std::string_view to_string(Rule rule);
 
--- a/drill/scenario.cpp
+++ b/drill/scenario.cpp
@@ -11,10 +11,12 @@
 
 const std::map<std::string, Deed>& deeds() {
     static const std::map<std::string, Deed> all = {
-        {"kill-gateway", Deed::kill_gateway}, {"start-gateway", Deed::start_gateway}, {"drain-host", Deed::drain_host},
-        {"kill-host", Deed::kill_host},       {"start-host", Deed::start_host},       {"stall-host", Deed::stall_host},
-        {"refuse-plan", Deed::refuse_plan},   {"cut-answers", Deed::cut_answers},     {"lose-zone", Deed::lose_zone},
-        {"return-zone", Deed::return_zone},   {"messages", Deed::messages},           {"cut-gateway", Deed::cut_gateway},
+        {"kill-gateway", Deed::kill_gateway}, {"start-gateway", Deed::start_gateway},
+        {"drain-host", Deed::drain_host},     {"kill-host", Deed::kill_host},
+        {"start-host", Deed::start_host},     {"stall-host", Deed::stall_host},
+        {"refuse-plan", Deed::refuse_plan},   {"cut-answers", Deed::cut_answers},
+        {"lose-zone", Deed::lose_zone},       {"return-zone", Deed::return_zone},
+        {"messages", Deed::messages},         {"cut-gateway", Deed::cut_gateway},
         {"describe", Deed::describe}};
     return all;
 }
@@ -22,7 +24,8 @@
 // Reads one mapping's members and says which were not known.
 class Reader {
   public:
-    Reader(const Value& value, std::string field, const std::string& file, std::vector<openapi::Problem>& problems)
+    Reader(const Value& value, std::string field, const std::string& file,
+           std::vector<openapi::Problem>& problems)
         : value_(value), field_(std::move(field)), file_(file), problems_(problems) {
         if (!value.is(Kind::mapping)) problem(value, "", "a mapping");
     }
@@ -35,7 +38,8 @@
         return value_.find(name);
     }
     void problem(const Value& where, const std::string& name, std::string expected) {
-        problems_.push_back({file_, where.line, field_ + (name.empty() ? "" : "." + name), std::move(expected)});
+        problems_.push_back(
+            {file_, where.line, field_ + (name.empty() ? "" : "." + name), std::move(expected)});
     }
     void read(const std::string& name, std::string& into) {
         const Value* v = find(name);
@@ -175,11 +179,15 @@
                 continue;
             }
             x.deed = it->second;
-            const bool gateway = x.deed == Deed::kill_gateway || x.deed == Deed::start_gateway || x.deed == Deed::cut_gateway;
-            const bool host = x.deed == Deed::drain_host || x.deed == Deed::kill_host || x.deed == Deed::start_host ||
-                              x.deed == Deed::stall_host || x.deed == Deed::refuse_plan || x.deed == Deed::cut_answers;
-            if (gateway && x.which >= into.gateways) w.problem(item, "gateway", "a gateway that the scenario has");
-            if (host && x.which >= into.hosts_in_all()) w.problem(item, "host", "a host that the scenario has");
+            const bool gateway =
+                x.deed == Deed::kill_gateway || x.deed == Deed::start_gateway || x.deed == Deed::cut_gateway;
+            const bool host = x.deed == Deed::drain_host || x.deed == Deed::kill_host ||
+                              x.deed == Deed::start_host || x.deed == Deed::stall_host ||
+                              x.deed == Deed::refuse_plan || x.deed == Deed::cut_answers;
+            if (gateway && x.which >= into.gateways)
+                w.problem(item, "gateway", "a gateway that the scenario has");
+            if (host && x.which >= into.hosts_in_all())
+                w.problem(item, "host", "a host that the scenario has");
             into.happenings.push_back(x);
         }
     }
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -41,7 +41,8 @@
     return {std::move(config), problems.empty() ? Exit::done : Exit::bad_answer};
 }
 
-// Each client and host costs a descriptor; the soft limit is raised as far as the system lets an ordinary user.
+// Each client and host costs a descriptor; the soft limit is raised as far as the system lets an ordinary
+// user.
 void raise_descriptor_limit() {
     rlimit limit{};
     if (getrlimit(RLIMIT_NOFILE, &limit) != 0) return;
@@ -56,8 +57,8 @@
     raise_descriptor_limit();
     signal(SIGPIPE, SIG_IGN);
     try {
-        log::Log log(static_cast<log::Form>(config.log().form()), static_cast<log::Level>(config.log().level()),
-                     config.log().file());
+        log::Log log(static_cast<log::Form>(config.log().form()),
+                     static_cast<log::Level>(config.log().level()), config.log().file());
         event::Loop loop;
         Instance instance(loop, config, folder_of(path), log);
         log.write(log::Level::warning, "listening",
@@ -96,7 +97,8 @@
     const auto description = openapi::load(*text, file, config::policy_of(*loaded.config), problems);
     print(problems);
     if (!description) return Exit::bad_answer;
-    std::cout << fmt::format("{}: good; {}: good, {} routes\n", path, file, description->table.routes().size());
+    std::cout << fmt::format("{}: good; {}: good, {} routes\n", path, file,
+                             description->table.routes().size());
     return Exit::done;
 }
 
@@ -119,10 +121,12 @@
     print(problems);
     if (!description) return Exit::bad_answer;
     std::cout << openapi::table_text(*description);
-    if (config_path.empty()) std::cout << "Without a configuration: class 'default' and 1 unit where none is given.\n";
+    if (config_path.empty())
+        std::cout << "Without a configuration: class 'default' and 1 unit where none is given.\n";
     else if (policy.reject_unpriced) std::cout << "A route without class or cost is rejected.\n";
-    else std::cout << fmt::format("A route without class or cost counts as class '{}', {:g} units.\n",
-                                  policy.default_class, policy.default_units);
+    else
+        std::cout << fmt::format("A route without class or cost counts as class '{}', {:g} units.\n",
+                                 policy.default_class, policy.default_units);
     return Exit::done;
 }
 }  // namespace
@@ -130,20 +134,24 @@
 int run(int argc, char** argv) {
     CLI::App app{"silverreach: an API gateway that keeps quotas and priorities over a fleet of instances"};
     app.require_subcommand(1);
-    app.footer("Exit codes: 0 done; 1 a bad file or a broken rule; 2 wrong usage; 3 the system refused something.");
+    app.footer(
+        "Exit codes: 0 done; 1 a bad file or a broken rule; 2 wrong usage; 3 the system refused something.");
     int code = Exit::done;
     std::string path, config_path;
 
-    auto* serving = app.add_subcommand("serve", "Run one instance. SIGHUP reads the description again; SIGTERM and "
-                                                "SIGINT end it after what is in hand");
+    auto* serving = app.add_subcommand("serve",
+                                       "Run one instance. SIGHUP reads the description again; SIGTERM and "
+                                       "SIGINT end it after what is in hand");
     serving->add_option("--config", path, "Configuration, protobuf text format")->required();
     serving->callback([&] { code = serve(path); });
 
-    auto* checking = app.add_subcommand("check", "Check a configuration and its description; all errors at once");
+    auto* checking =
+        app.add_subcommand("check", "Check a configuration and its description; all errors at once");
     checking->add_option("--config", path, "Configuration; - for standard input")->required();
     checking->callback([&] { code = check(path); });
 
-    auto* listing = app.add_subcommand("routes", "Show a description's routes as the gateway understands them");
+    auto* listing =
+        app.add_subcommand("routes", "Show a description's routes as the gateway understands them");
     listing->add_option("FILE", path, "OpenAPI description; - for standard input")->required();
     listing->add_option("--config", config_path, "Classes and policy from this configuration");
     listing->callback([&] { code = routes(path, config_path); });
--- a/src/cli/commands.h
+++ b/src/cli/commands.h
@@ -1,5 +1,5 @@
-// The command line. Exit codes: 0 done, 1 the answer is no (a bad file, a broken rule), 2 wrong usage, 3 the system
-// refused something (a socket, a file).
+// The command line. Exit codes: 0 done, 1 the answer is no (a bad file, a broken rule), 2 wrong usage, 3 the
+// system refused something (a socket, a file).
 #pragma once
 
 namespace silverreach::cli {
--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -35,7 +35,11 @@
 }
 
 Instance::Instance(event::Loop& loop, const config::Config& config, std::string folder, log::Log& log)
-    : loop_(loop), config_(config), folder_(std::move(folder)), log_(log), accounts_(config),
+    : loop_(loop),
+      config_(config),
+      folder_(std::move(folder)),
+      log_(log),
+      accounts_(config),
       timers_(loop, [this](std::uint64_t token) { core_->timer_fired(loop_.now(), {token}); }) {
     std::vector<openapi::Problem> problems;
     description_ = read_description(problems);
@@ -62,21 +66,27 @@
     roster::Roster::Hooks list;
     list.changed = [this](std::vector<HostEntry> hosts) { hosts_changed(std::move(hosts)); };
     list.bad = [this](const std::vector<openapi::Problem>& found) {
-        for (const auto& p : found) log_.write(log::Level::error, "hosts_bad", {{"problem", openapi::to_string(p)}});
+        for (const auto& p : found)
+            log_.write(log::Level::error, "hosts_bad", {{"problem", openapi::to_string(p)}});
     };
-    list.unreachable = [this](const std::string& why) { log_.write(log::Level::warning, "hosts_unreachable", {{"why", why}}); };
-    front_ = std::make_unique<fronts::http::Front>(loop, config, accounts_, *core_, seed ^ 0x5bd1e995, std::move(hooks));
+    list.unreachable = [this](const std::string& why) {
+        log_.write(log::Level::warning, "hosts_unreachable", {{"why", why}});
+    };
+    front_ = std::make_unique<fronts::http::Front>(loop, config, accounts_, *core_, seed ^ 0x5bd1e995,
+                                                   std::move(hooks));
     roster_ = std::make_unique<roster::Roster>(loop, config, folder_, std::move(list));
 }
 Instance::~Instance() {
     alive_.reset();
-    // The front's connections may tell the core of their end; the core may still send: in this order none is missing.
+    // The front's connections may tell the core of their end; the core may still send: in this order none is
+    // missing.
     roster_.reset();
     front_.reset();
     upstream_.reset();
 }
 
-std::shared_ptr<const openapi::Description> Instance::read_description(std::vector<openapi::Problem>& problems) const {
+std::shared_ptr<const openapi::Description> Instance::read_description(
+    std::vector<openapi::Problem>& problems) const {
     const std::string& name = config_.api().description();
     const std::string path = name.starts_with('/') ? name : folder_ + "/" + name;
     const auto text = read_file(path);
@@ -90,7 +100,8 @@
 bool Instance::reload() {
     std::vector<openapi::Problem> problems;
     auto fresh = read_description(problems);
-    for (const auto& p : problems) log_.write(log::Level::error, "description_bad", {{"problem", openapi::to_string(p)}});
+    for (const auto& p : problems)
+        log_.write(log::Level::error, "description_bad", {{"problem", openapi::to_string(p)}});
     if (!fresh) {
         log_.write(log::Level::error, "description_kept", {{"problems", whole(problems.size())}});
         return false;
@@ -108,26 +119,34 @@
 }
 void Instance::wait_for_drain(Micros until, std::function<void()> done) {
     if (front_->in_hand() == 0 || loop_.now() >= until) return done();
-    loop_.after(drain_look, [this, until, done = std::move(done), alive = std::weak_ptr<bool>(alive_)]() mutable {
-        if (!alive.expired()) wait_for_drain(until, std::move(done));
-    });
+    loop_.after(drain_look,
+                [this, until, done = std::move(done), alive = std::weak_ptr<bool>(alive_)]() mutable {
+                    if (!alive.expired()) wait_for_drain(until, std::move(done));
+                });
 }
 
 void Instance::log_counts() {
     const core::Counts& c = core_->counts();
     const auto up = upstream_->stats();
-    log::Fields fields = {{"taken", whole(c.taken)},       {"served", whole(c.served)},
-                          {"refused", whole(c.refused)},   {"failed", whole(c.failed)},
-                          {"left", whole(c.left)},         {"broken", whole(c.broken)},
-                          {"attempts", whole(c.attempts)}, {"held", whole(core_->held())},
-                          {"clients", whole(front_->connections())}, {"host_connections", whole(up.open)},
-                          {"opened", whole(up.opened)},    {"reused", whole(up.reused)}};
+    log::Fields fields = {{"taken", whole(c.taken)},
+                          {"served", whole(c.served)},
+                          {"refused", whole(c.refused)},
+                          {"failed", whole(c.failed)},
+                          {"left", whole(c.left)},
+                          {"broken", whole(c.broken)},
+                          {"attempts", whole(c.attempts)},
+                          {"held", whole(core_->held())},
+                          {"clients", whole(front_->connections())},
+                          {"host_connections", whole(up.open)},
+                          {"opened", whole(up.opened)},
+                          {"reused", whole(up.reused)}};
     log_.write(log::Level::info, "counts", fields);
     if (!peers_) return;
     const auto& p = peers_->stats();
     fields = {{"sent", whole(p.sent)}, {"received", whole(p.received)}, {"not_sent", whole(p.lost)}};
     for (std::size_t i = 1; i < p.dropped.size(); ++i)
-        if (p.dropped[i] > 0) fields.push_back({peers::to_string(static_cast<peers::Drop>(i)), whole(p.dropped[i])});
+        if (p.dropped[i] > 0)
+            fields.push_back({peers::to_string(static_cast<peers::Drop>(i)), whole(p.dropped[i])});
     log_.write(log::Level::info, "peers", fields);
 }
 
@@ -135,9 +154,16 @@
     const bool ours = r.reason != "served";
     if (!log_.wants(ours ? log::Level::info : log::Level::debug)) return;
     log_.write(ours ? log::Level::info : log::Level::debug, "request",
-               {{"id", r.request_id}, {"reason", r.reason}, {"status", static_cast<std::int64_t>(r.status)},
-                {"method", r.method}, {"path", r.path}, {"account", r.account}, {"class", r.request_class},
-                {"units", r.units}, {"took_us", static_cast<std::int64_t>(r.took.count())}, {"client", r.client}});
+               {{"id", r.request_id},
+                {"reason", r.reason},
+                {"status", static_cast<std::int64_t>(r.status)},
+                {"method", r.method},
+                {"path", r.path},
+                {"account", r.account},
+                {"class", r.request_class},
+                {"units", r.units},
+                {"took_us", static_cast<std::int64_t>(r.took.count())},
+                {"client", r.client}});
 }
 
 void Instance::hosts_changed(std::vector<HostEntry> hosts) {
@@ -148,9 +174,7 @@
 
 // ---- core::Outside ---------------------------------------------------------------------------------------
 
-void Instance::start_timer(Micros from_now, core::Timer timer) {
-    timers_.start(from_now, timer.token);
-}
+void Instance::start_timer(Micros from_now, core::Timer timer) { timers_.start(from_now, timer.token); }
 void Instance::send(const core::AttemptKey& key, const std::string& host) {
     auto request = front_->out_request(key.request);
     if (!request) return core_->attempt_ended(loop_.now(), key, host, Outcome::moot, 0us, {});
@@ -172,18 +196,23 @@
     front_->answer_begins(key.request, host, head, [this, key](bool pause) { upstream_->read(key, !pause); });
     return true;
 }
-void Instance::answer_body(const core::AttemptKey& key, std::string_view bytes) { front_->answer_body(key.request, bytes); }
+void Instance::answer_body(const core::AttemptKey& key, std::string_view bytes) {
+    front_->answer_body(key.request, bytes);
+}
 void Instance::answer_ended(const core::AttemptKey& key, bool whole, const http::Fields& trailers) {
     core_->answer_ended(loop_.now(), key.request, whole);
     front_->answer_ended(key.request, whole, trailers);
 }
-void Instance::attempt_ended(const core::AttemptKey& key, const std::string& host, Outcome outcome, Micros took,
-                             const LoadReport& report, int status) {
+void Instance::attempt_ended(const core::AttemptKey& key, const std::string& host, Outcome outcome,
+                             Micros took, const LoadReport& report, int status) {
     if (log_.wants(log::Level::debug))
         log_.write(log::Level::debug, "attempt",
-               {{"request", whole(key.request)}, {"attempt", static_cast<std::int64_t>(key.attempt)}, {"host", host},
-                {"outcome", std::string(name_of(outcome))}, {"status", static_cast<std::int64_t>(status)},
-                {"took_us", static_cast<std::int64_t>(took.count())}});
+                   {{"request", whole(key.request)},
+                    {"attempt", static_cast<std::int64_t>(key.attempt)},
+                    {"host", host},
+                    {"outcome", std::string(name_of(outcome))},
+                    {"status", static_cast<std::int64_t>(status)},
+                    {"took_us", static_cast<std::int64_t>(took.count())}});
     core_->attempt_ended(loop_.now(), key, host, outcome, took, report);
 }
 void Instance::probe_ended(ProbeEnded ended) { core_->probe_ended(loop_.now(), std::move(ended)); }
--- a/src/cli/instance.h
+++ b/src/cli/instance.h
@@ -19,8 +19,8 @@
 
 class Instance : private core::Outside, private upstream::Events {
   public:
-    // `folder`: what relative names in the configuration start from. Throws std::runtime_error with a plain message
-    // where a socket, file or the description is not to be had.
+    // `folder`: what relative names in the configuration start from. Throws std::runtime_error with a plain
+    // message where a socket, file or the description is not to be had.
     Instance(event::Loop& loop, const config::Config& config, std::string folder, log::Log& log);
     ~Instance();
 
@@ -41,15 +41,16 @@
     void finish(RequestId id, const core::Final& answer) override;
     void cut(RequestId id) override;
     // ---- upstream::Events ----
-    bool answer_begins(const core::AttemptKey& key, const std::string& host, Micros took, const LoadReport& report,
-                       http::Head& head) override;
+    bool answer_begins(const core::AttemptKey& key, const std::string& host, Micros took,
+                       const LoadReport& report, http::Head& head) override;
     void answer_body(const core::AttemptKey& key, std::string_view bytes) override;
     void answer_ended(const core::AttemptKey& key, bool whole, const http::Fields& trailers) override;
     void attempt_ended(const core::AttemptKey& key, const std::string& host, Outcome outcome, Micros took,
                        const LoadReport& report, int status) override;
     void probe_ended(ProbeEnded ended) override;
 
-    std::shared_ptr<const openapi::Description> read_description(std::vector<openapi::Problem>& problems) const;
+    std::shared_ptr<const openapi::Description> read_description(
+        std::vector<openapi::Problem>& problems) const;
     void record(const fronts::http::Record& record);
     void hosts_changed(std::vector<HostEntry> hosts);
     void wait_for_drain(Micros until, std::function<void()> done);
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -2,8 +2,8 @@
 
 #include <arpa/inet.h>
 #include <fmt/format.h>
-#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <google/protobuf/io/tokenizer.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 #include <google/protobuf/text_format.h>
 
 #include <charconv>
@@ -20,11 +20,13 @@
     std::vector<Problem>& problems;
     Collector(const std::string& f, std::vector<Problem>& p) : file(f), problems(p) {}
     void AddError(int line, int column, const std::string& message) override {
-        problems.push_back({file, line + 1, fmt::format("column {}", column + 1), "valid text format: " + message});
+        problems.push_back(
+            {file, line + 1, fmt::format("column {}", column + 1), "valid text format: " + message});
     }
     // Unknown fields come as warnings, so that reading goes on and all of them are told at once.
     void AddWarning(int line, int column, const std::string& message) override {
-        problems.push_back({file, line + 1, fmt::format("column {}", column + 1), "a known field: " + message});
+        problems.push_back(
+            {file, line + 1, fmt::format("column {}", column + 1), "a known field: " + message});
     }
 };
 
@@ -49,8 +51,8 @@
         problems_.push_back({file_, std::max(line, 0), std::move(path), std::move(expected)});
     }
     template <typename Number>
-    void at_least(Tree* tree, const pb::Message& owner, const char* field, const std::string& path, Number value,
-                  Number least) {
+    void at_least(Tree* tree, const pb::Message& owner, const char* field, const std::string& path,
+                  Number value, Number least) {
         if (!(value >= least) || !std::isfinite(static_cast<double>(value)))
             problem(tree, owner, field, -1, path + field, fmt::format("{} or more, not {}", least, value));
     }
@@ -71,8 +73,9 @@
     c.at_least(tree, l, "max_target_bytes", "listen.", l.max_target_bytes(), 16);
     c.at_least(tree, l, "max_head_bytes", "listen.", l.max_head_bytes(), 256);
     c.at_least(tree, l, "max_body_bytes", "listen.", l.max_body_bytes(), 0);
-    for (const auto& [name, value] : {std::pair{"head_ms", l.head_ms()}, std::pair{"body_ms", l.body_ms()},
-                                      std::pair{"idle_ms", l.idle_ms()}, std::pair{"stalled_ms", l.stalled_ms()}})
+    for (const auto& [name, value] :
+         {std::pair{"head_ms", l.head_ms()}, std::pair{"body_ms", l.body_ms()},
+          std::pair{"idle_ms", l.idle_ms()}, std::pair{"stalled_ms", l.stalled_ms()}})
         c.at_least<std::int64_t>(tree, l, name, "listen.", value, 1);
 }
 
@@ -131,15 +134,17 @@
         if (p.name().empty() || !names.insert(p.name()).second)
             c.problem(tree, p, "name", -1, path + "name", "a name that no other plan has");
         for (const auto& [name, value] :
-             {std::pair{"rate", p.rate()}, std::pair{"burst", p.burst()}, std::pair{"hard_rate", p.hard_rate()},
-              std::pair{"hard_burst", p.hard_burst()}, std::pair{"excess_worth", p.excess_worth()},
-              std::pair{"excess_cost", p.excess_cost()}, std::pair{"worth_factor", p.worth_factor()}})
+             {std::pair{"rate", p.rate()}, std::pair{"burst", p.burst()},
+              std::pair{"hard_rate", p.hard_rate()}, std::pair{"hard_burst", p.hard_burst()},
+              std::pair{"excess_worth", p.excess_worth()}, std::pair{"excess_cost", p.excess_cost()},
+              std::pair{"worth_factor", p.worth_factor()}})
             c.at_least(tree, p, name, path, value, 0.0);
         c.at_least(tree, p, "max_open", path, p.max_open(), 0);
         if (p.rate() > 0 && p.burst() <= 0)
             c.problem(tree, p, "rate", -1, path + "burst", "a burst above 0 beside a rate");
         if (p.hard_rate() > 0 && p.hard_burst() <= 0)
-            c.problem(tree, p, "hard_rate", -1, path + "hard_burst", "a hard_burst above 0 beside a hard_rate");
+            c.problem(tree, p, "hard_rate", -1, path + "hard_burst",
+                      "a hard_burst above 0 beside a hard_rate");
     }
     if (config.api().has_anonymous_plan() && !names.count(config.api().anonymous_plan()))
         c.problem(Checker::nested(c.root(), config, "api", -1), config.api(), "anonymous_plan", -1,
@@ -154,7 +159,8 @@
             c.problem(tree, a, "plan", -1, path + "plan", fmt::format("one of {}", fmt::join(names, ", ")));
         for (int k = 0; k < a.key_size(); ++k)
             if (a.key(k).empty() || !keys.insert(a.key(k)).second)
-                c.problem(tree, a, "key", k, fmt::format("{}key[{}]", path, k), "a key that stands nowhere else");
+                c.problem(tree, a, "key", k, fmt::format("{}key[{}]", path, k),
+                          "a key that stands nowhere else");
     }
 }
 
@@ -165,8 +171,9 @@
         c.problem(c.root(), config, "hosts", -1, "hosts", "either a file or a discovery address");
     if (h.has_discovery() && !parse_endpoint(h.discovery()))
         c.problem(tree, h, "discovery", -1, "hosts.discovery", "IP address and port");
-    for (const auto& [name, value] : {std::pair{"discovery_ms", h.discovery_ms()}, std::pair{"idle_ms", h.idle_ms()},
-                                      std::pair{"connect_ms", h.connect_ms()}, std::pair{"probe_ms", h.probe_ms()}})
+    for (const auto& [name, value] :
+         {std::pair{"discovery_ms", h.discovery_ms()}, std::pair{"idle_ms", h.idle_ms()},
+          std::pair{"connect_ms", h.connect_ms()}, std::pair{"probe_ms", h.probe_ms()}})
         c.at_least<std::int64_t>(tree, h, name, "hosts.", value, 1);
     c.at_least(tree, h, "max_connections", "hosts.", h.max_connections(), 1);
     if (h.has_probe_path() && openapi::check_path(h.probe_path()) != openapi::PathFault::none)
@@ -198,7 +205,9 @@
 }
 }  // namespace
 
-std::string Endpoint::text() const { return v6 ? fmt::format("[{}]:{}", ip, port) : fmt::format("{}:{}", ip, port); }
+std::string Endpoint::text() const {
+    return v6 ? fmt::format("[{}]:{}", ip, port) : fmt::format("{}:{}", ip, port);
+}
 
 std::optional<Endpoint> parse_endpoint(std::string_view text) {
     const std::size_t colon = text.rfind(':');
@@ -216,7 +225,8 @@
     return e;
 }
 
-std::unique_ptr<Config> parse(std::string_view text, const std::string& file, std::vector<Problem>& problems) {
+std::unique_ptr<Config> parse(std::string_view text, const std::string& file,
+                              std::vector<Problem>& problems) {
     const std::size_t before = problems.size();
     auto config = std::make_unique<Config>();
     Collector collector(file, problems);
@@ -250,9 +260,10 @@
     s.zone = c.zone();
     for (const RequestClass& k : c.class_())
         for (int effect = 0; effect < effects; ++effect)
-            s.classes.push_back({k.name(), static_cast<Effect>(effect), static_cast<RepeatScope>(k.repeat_scope()),
-                                 milliseconds(k.aim_ms()), milliseconds(k.deadline_ms()),
-                                 milliseconds(k.repeat_window_ms()), k.worth(), k.late_worth()});
+            s.classes.push_back({k.name(), static_cast<Effect>(effect),
+                                 static_cast<RepeatScope>(k.repeat_scope()), milliseconds(k.aim_ms()),
+                                 milliseconds(k.deadline_ms()), milliseconds(k.repeat_window_ms()), k.worth(),
+                                 k.late_worth()});
     for (const Plan& p : c.plan())
         s.plans.push_back({p.name(), p.rate(), p.burst(), p.max_open(), p.worth_factor(), p.excess_worth(),
                            p.excess_cost(), p.hard_rate(), p.hard_burst()});
@@ -294,7 +305,8 @@
     return policy;
 }
 
-Accounts::Accounts(const Config& config) : anonymous_plan_(plan_index(config, config.api().anonymous_plan())) {
+Accounts::Accounts(const Config& config)
+    : anonymous_plan_(plan_index(config, config.api().anonymous_plan())) {
     for (const auto& a : config.account()) {
         accounts_.push_back({a.name(), plan_index(config, a.plan())});
         for (const std::string& key : a.key()) by_key_.emplace(key, accounts_.size() - 1);
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -36,7 +36,8 @@
     const AccountSet set = set_of(t.account);
     requests_[id].deadline = now + t.time_left;
     own_timer(t.time_left, {id, whole_request});
-    feed(now, RequestArrived{id, t.account, t.plan, t.request_class, t.units, t.time_left, set.size, set.start});
+    feed(now,
+         RequestArrived{id, t.account, t.plan, t.request_class, t.units, t.time_left, set.size, set.start});
 }
 
 bool Core::answer_begins(Micros now, const AttemptKey& key, const std::string& host, Micros took,
@@ -61,8 +62,8 @@
     forget_if_over(id);
 }
 
-void Core::attempt_ended(Micros now, const AttemptKey& key, const std::string& host, Outcome outcome, Micros took,
-                         const LoadReport& report) {
+void Core::attempt_ended(Micros now, const AttemptKey& key, const std::string& host, Outcome outcome,
+                         Micros took, const LoadReport& report) {
     Request* request = close(key);
     if (!request) return;
     request->last = outcome;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,7 +1,7 @@
 // The protocol-neutral path of a request: it turns what happens into the decision module's events and carries
-// out the module's actions. Its invariant is one final answer a request. It does no I/O, knows no protocol and
-// no clock of its own: every call names the time, and whatever is to be done leaves through `Outside`, so the
-// same core runs on sockets, in virtual time or from a capture.
+// out the module's actions. Its invariant is one final answer a request. It does no I/O, knows no protocol
+// and no clock of its own: every call names the time, and whatever is to be done leaves through `Outside`, so
+// the same core runs on sockets, in virtual time or from a capture.
 //
 // States of a request:   held --good answer begins--> bound --answer done, broken or cut--> over
 //                        held --refused, failed, client left--> over
@@ -58,10 +58,10 @@
     virtual void send(const AttemptKey& key, const std::string& host) = 0;
     // Stops waiting for the attempt; no word of it is expected any more.
     virtual void cancel(const AttemptKey& key) = 0;
-    virtual void probe(const std::string& host) = 0;               // ends in Core::probe_ended
-    virtual void tell(int rank, const std::string& bytes) = 0;     // below 0: every peer
-    virtual void finish(RequestId id, const Final& answer) = 0;    // the client's final answer
-    virtual void cut(RequestId id) = 0;                            // a bound answer overran the client's time
+    virtual void probe(const std::string& host) = 0;             // ends in Core::probe_ended
+    virtual void tell(int rank, const std::string& bytes) = 0;   // below 0: every peer
+    virtual void finish(RequestId id, const Final& answer) = 0;  // the client's final answer
+    virtual void cut(RequestId id) = 0;                          // a bound answer overran the client's time
 };
 
 // How many instances an account arrives through: a stated number from a hash of its name, all by 0.
@@ -88,8 +88,8 @@
                        const LoadReport& report);
     void answer_ended(Micros now, RequestId id, bool whole);  // of the bound one, by the front or the host
     // `outcome` is not `good`. An attempt whose end is known already is passed over.
-    void attempt_ended(Micros now, const AttemptKey& key, const std::string& host, Outcome outcome, Micros took,
-                       const LoadReport& report);
+    void attempt_ended(Micros now, const AttemptKey& key, const std::string& host, Outcome outcome,
+                       Micros took, const LoadReport& report);
     void client_left(Micros now, RequestId id);
     void hosts_changed(Micros now, HostsChanged change);
     void probe_ended(Micros now, ProbeEnded ended);
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -15,10 +15,13 @@
 Loop::Loop() : loop_(ev_loop_new(EVFLAG_AUTO)) {
     if (!loop_) throw std::runtime_error("event loop: the system offers no way to wait for sockets");
     now_ = clock();
-    ev_timer_init(&timer_, [](struct ev_loop*, ev_timer* t, int) { static_cast<Loop*>(t->data)->fire(); }, 0, 0);
+    ev_timer_init(
+        &timer_, [](struct ev_loop*, ev_timer* t, int) { static_cast<Loop*>(t->data)->fire(); }, 0, 0);
     timer_.data = this;
     // After the loop has slept the time is read again, once.
-    ev_prepare_init(&prepare_, [](struct ev_loop*, ev_prepare* p, int) { static_cast<Loop*>(p->data)->now_ = Micros(0); });
+    ev_prepare_init(&prepare_, [](struct ev_loop*, ev_prepare* p, int) {
+        static_cast<Loop*>(p->data)->now_ = Micros(0);
+    });
     prepare_.data = this;
     ev_prepare_start(loop_, &prepare_);
     ev_unref(loop_);
@@ -72,7 +75,8 @@
 }
 
 Io::Io(Loop& loop, int fd, std::function<void(int)> call) : loop_(loop), call_(std::move(call)) {
-    ev_io_init(&io_, [](struct ev_loop*, ev_io* w, int got) { static_cast<Io*>(w->data)->call_(got); }, fd, 0);
+    ev_io_init(
+        &io_, [](struct ev_loop*, ev_io* w, int got) { static_cast<Io*>(w->data)->call_(got); }, fd, 0);
     io_.data = this;
 }
 Io::~Io() { ev_io_stop(loop_.raw(), &io_); }
@@ -86,8 +90,8 @@
 }
 
 Signal::Signal(Loop& loop, int number, std::function<void()> call) : loop_(loop), call_(std::move(call)) {
-    ev_signal_init(&signal_, [](struct ev_loop*, ev_signal* w, int) { static_cast<Signal*>(w->data)->call_(); },
-                   number);
+    ev_signal_init(
+        &signal_, [](struct ev_loop*, ev_signal* w, int) { static_cast<Signal*>(w->data)->call_(); }, number);
     signal_.data = this;
     ev_signal_start(loop_.raw(), &signal_);
 }
@@ -100,7 +104,8 @@
 FileWatch::Look FileWatch::look() const {
     struct stat s {};
     if (::stat(path_.c_str(), &s) != 0) return {};
-    return {static_cast<std::int64_t>(s.st_ino), s.st_size, s.st_mtim.tv_sec * 1'000'000'000 + s.st_mtim.tv_nsec};
+    return {static_cast<std::int64_t>(s.st_ino), s.st_size,
+            s.st_mtim.tv_sec * 1'000'000'000 + s.st_mtim.tv_nsec};
 }
 void FileWatch::again() {
     loop_.after(period_, [this, alive = std::weak_ptr<bool>(alive_)] {
--- a/src/event/loop.h
+++ b/src/event/loop.h
@@ -29,7 +29,9 @@
     static Micros clock();  // the same clock, read afresh
     // Calls once, `wait` from now. A timer cannot be taken back: its owner checks whether it still matters.
     void after(Micros wait, std::function<void()> call);
-    struct ev_loop* raw() const { return loop_; }
+    struct ev_loop* raw() const {
+        return loop_;
+    }
 
   private:
     struct Due {
@@ -80,7 +82,8 @@
     std::function<void()> call_;
 };
 
-// Calls when a file's content may have changed; looks once in `period`. (libev's own watcher compares whole seconds.)
+// Calls when a file's content may have changed; looks once in `period`. (libev's own watcher compares whole
+// seconds.)
 class FileWatch {
   public:
     FileWatch(Loop& loop, std::string path, Micros period, std::function<void()> call);
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -154,7 +154,9 @@
 
 Listener::Listener(Loop& loop, const std::string& ip, int port, bool v6, std::function<bool()> room,
                    std::function<void(Fd, std::string)> accepted)
-    : loop_(loop), spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)), room_(std::move(room)),
+    : loop_(loop),
+      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
+      room_(std::move(room)),
       accepted_(std::move(accepted)) {
     const auto fail = [&](const char* what) {
         throw std::runtime_error("listening on " + ip + " port " + std::to_string(port) + ": " + what + ": " +
@@ -183,7 +185,8 @@
     for (int i = 0; i < accepts_a_turn && fd_; ++i) {
         sockaddr_storage from{};
         socklen_t size = sizeof from;
-        const int fd = ::accept4(fd_.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
+        const int fd =
+            ::accept4(fd_.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
         if (fd >= 0) {
             Fd taken(fd);
             if (room_()) accepted_(std::move(taken), text_of(from));
--- a/src/event/stream.h
+++ b/src/event/stream.h
@@ -11,8 +11,8 @@
 
 namespace silverreach::event {
 
-// What a connection tells its owner. The owner may close the stream in any of these, and destroys it later only
-// (Loop::after): a stream does not go while it calls.
+// What a connection tells its owner. The owner may close the stream in any of these, and destroys it later
+// only (Loop::after): a stream does not go while it calls.
 class StreamOwner {
   public:
     virtual ~StreamOwner() = default;
@@ -53,7 +53,6 @@
     bool connecting_, reading_ = true, ended_ = false, told_end_ = false;
 };
 
-
 class Listener {
   public:
     // `accepted` gets each connection and the other side's address; while it returns false for `room` nothing
--- a/src/event/token_timers.cpp
+++ b/src/event/token_timers.cpp
@@ -33,7 +33,8 @@
 // Wakes for the next slot that holds anything; nothing pending costs nothing.
 void TokenTimers::arm() {
     if (pending_ == 0) return;
-    std::int64_t next = overflow_.empty() ? INT64_MAX : overflow_.begin()->first - static_cast<std::int64_t>(slots) + 1;
+    std::int64_t next =
+        overflow_.empty() ? INT64_MAX : overflow_.begin()->first - static_cast<std::int64_t>(slots) + 1;
     const std::size_t from = static_cast<std::size_t>(done_ + 1) % slots;
     for (std::size_t step = 0; step <= slots / 64; ++step) {
         const std::size_t word = (from / 64 + step) % (slots / 64);
--- a/src/fronts/http/connection.cpp
+++ b/src/fronts/http/connection.cpp
@@ -6,19 +6,22 @@
 namespace {
 using namespace std::chrono_literals;
 using std::chrono::milliseconds;
-constexpr std::size_t most_pending = 64 * 1024;   // bytes of requests to come; then the client waits
-constexpr std::size_t most_queued = 256 * 1024;   // bytes of an answer kept for a slow client
+constexpr std::size_t most_pending = 64 * 1024;  // bytes of requests to come; then the client waits
+constexpr std::size_t most_queued = 256 * 1024;  // bytes of an answer kept for a slow client
 constexpr std::size_t queue_low = 64 * 1024;
 constexpr Micros linger_for = 1s, watch_period = 250ms;
 
 wire::HeadLimits limits_of(const config::Listen& l) {
-    return {static_cast<std::size_t>(l.max_target_bytes()), static_cast<std::size_t>(l.max_head_bytes()), 100};
+    return {static_cast<std::size_t>(l.max_target_bytes()), static_cast<std::size_t>(l.max_head_bytes()),
+            100};
 }
 }  // namespace
 
 Front::Connection::Connection(Front& front, event::Fd fd, std::string client)
-    : front_(front), stream_(front.loop_, std::move(fd), *this),
-      parser_(wire::Parser::Kind::request, *this, limits_of(front.config_.listen())), client_(std::move(client)),
+    : front_(front),
+      stream_(front.loop_, std::move(fd), *this),
+      parser_(wire::Parser::Kind::request, *this, limits_of(front.config_.listen())),
+      client_(std::move(client)),
       since_(front.loop_.now()) {
     watch_time();
 }
@@ -61,22 +64,27 @@
     Request& r = *request_;
     r.begun = since_;
     r.head = std::move(head);
-    r.side = {r.head.minor, r.head.method == "HEAD", r.head.keep_alive, wire::lists(r.head.fields, "TE", "trailers")};
+    r.side = {r.head.minor, r.head.method == "HEAD", r.head.keep_alive,
+              wire::lists(r.head.fields, "TE", "trailers")};
     r.identity = identity_of(r.head, front_.random_);
     r.description = front_.hooks_.description();
     const auto refuse = [&](const Refusal& refusal, std::string_view reason) {
         answer_myself(own_answer(refusal), reason);
         return false;
     };
-    if (auto refusal = front_.resolver_.resolve(r.head, *r.description, r.resolved)) return refuse(*refusal, "bad-request");
+    if (auto refusal = front_.resolver_.resolve(r.head, *r.description, r.resolved))
+        return refuse(*refusal, "bad-request");
     if (r.resolved.account && !front_.hooks_.served_here(*r.resolved.account))
-        return refuse({421, "Not of this instance", "the account is served by other instances", {}, false}, "misdirected");
+        return refuse({421, "Not of this instance", "the account is served by other instances", {}, false},
+                      "misdirected");
     const auto most = static_cast<std::uint64_t>(front_.config_.listen().max_body_bytes());
     if (r.head.has_length && r.head.length > most)
-        return refuse({413, "Body too large", fmt::format("{} bytes at most", most), {}, false}, "bad-request");
+        return refuse({413, "Body too large", fmt::format("{} bytes at most", most), {}, false},
+                      "bad-request");
     if (const std::string* expect = wire::find(r.head.fields, "Expect")) {
         if (!wire::same_name(*expect, "100-continue"))
-            return refuse({417, "Unknown expectation", "100-continue is the only one", {}, false}, "bad-request");
+            return refuse({417, "Unknown expectation", "100-continue is the only one", {}, false},
+                          "bad-request");
         const bool body = r.head.chunked || r.head.length > 0;
         if (body && r.head.minor >= 1) stream_.write("HTTP/1.1 100 Continue\r\n\r\n");
     }
@@ -89,8 +97,9 @@
     if (state_ != State::reading || !request_) return;
     const auto most = static_cast<std::size_t>(front_.config_.listen().max_body_bytes());
     if (request_->body.size() + bytes.size() > most)
-        return answer_myself(own_answer(Refusal{413, "Body too large", fmt::format("{} bytes at most", most), {}, false}),
-                             "bad-request");
+        return answer_myself(
+            own_answer(Refusal{413, "Body too large", fmt::format("{} bytes at most", most), {}, false}),
+            "bad-request");
     request_->body.append(bytes);
 }
 
@@ -104,8 +113,10 @@
         request_->begun = since_;
     }
     request_->side.keep_alive = false;
-    answer_myself(own_answer(Refusal{fault.status, std::string(wire::reason_phrase(fault.status)),
-                                     std::string(fault.why), {}, false}), "bad-request");
+    answer_myself(
+        own_answer(Refusal{
+            fault.status, std::string(wire::reason_phrase(fault.status)), std::string(fault.why), {}, false}),
+        "bad-request");
 }
 
 // The whole request is here: the core takes it.
@@ -146,7 +157,8 @@
     answer_myself(own, own.type);
 }
 
-void Front::Connection::answer_begins(const std::string& host, wire::Head& head, std::function<void(bool)> pause) {
+void Front::Connection::answer_begins(const std::string& host, wire::Head& head,
+                                      std::function<void(bool)> pause) {
     if (state_ != State::in_hand) return;
     Request& r = *request_;
     state_ = State::answering;
@@ -213,8 +225,8 @@
         });
 }
 
-// After a last answer the rest of what the client sends is read and dropped for a while: closing at once would
-// break the connection and could take the answer with it.
+// After a last answer the rest of what the client sends is read and dropped for a while: closing at once
+// would break the connection and could take the answer with it.
 void Front::Connection::linger() {
     state_ = State::lingering;
     pending_.clear();
@@ -275,9 +287,10 @@
         return go();
     }
     if (state_ == State::gone) return;
-    const Micros wait = state_ == State::reading && !partial
-                            ? std::max<Micros>(watch_period, milliseconds(std::min(l.idle_ms(), l.head_ms())) / 4)
-                            : watch_period;
+    const Micros wait =
+        state_ == State::reading && !partial
+            ? std::max<Micros>(watch_period, milliseconds(std::min(l.idle_ms(), l.head_ms())) / 4)
+            : watch_period;
     front_.loop_.after(wait, [this, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired() && state_ != State::gone) watch_time();
     });
--- a/src/fronts/http/connection.h
+++ b/src/fronts/http/connection.h
@@ -1,6 +1,7 @@
 // One client's connection: one request after another, answered in their order.
 //
-// States:  reading -> in hand -> answering -> reading ...   or, after an answer that ends it, lingering -> gone
+// States:  reading -> in hand -> answering -> reading ...   or, after an answer that ends it, lingering ->
+// gone
 #pragma once
 
 #include "fronts/http/front.h"
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -8,10 +8,16 @@
 
 using namespace std::chrono_literals;
 
-Front::Front(event::Loop& loop, const config::Config& config, const config::Accounts& accounts, core::Core& core,
-             std::uint64_t seed, Hooks hooks)
-    : loop_(loop), config_(config), accounts_(accounts), core_(core), hooks_(std::move(hooks)),
-      resolver_(config, accounts), via_(fmt::format("silverreach-{}", config.peers().rank())), random_(seed) {
+Front::Front(event::Loop& loop, const config::Config& config, const config::Accounts& accounts,
+             core::Core& core, std::uint64_t seed, Hooks hooks)
+    : loop_(loop),
+      config_(config),
+      accounts_(accounts),
+      core_(core),
+      hooks_(std::move(hooks)),
+      resolver_(config, accounts),
+      via_(fmt::format("silverreach-{}", config.peers().rank())),
+      random_(seed) {
     const auto at = config::parse_endpoint(config.listen().address());
     listener_ = std::make_unique<event::Listener>(
         loop, at->ip, at->port, at->v6,
@@ -56,7 +62,8 @@
 void Front::cut(RequestId id) {
     if (Connection* c = find(id)) c->cut();
 }
-void Front::answer_begins(RequestId id, const std::string& host, wire::Head& head, std::function<void(bool)> pause) {
+void Front::answer_begins(RequestId id, const std::string& host, wire::Head& head,
+                          std::function<void(bool)> pause) {
     if (Connection* c = find(id)) c->answer_begins(host, head, std::move(pause));
 }
 void Front::answer_body(RequestId id, std::string_view bytes) {
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -1,5 +1,5 @@
-// The HTTP front: clients' connections, requests in and answers out. It hands each whole request to the core and
-// writes what comes back; it decides on nothing but the form of a message.
+// The HTTP front: clients' connections, requests in and answers out. It hands each whole request to the core
+// and writes what comes back; it decides on nothing but the form of a message.
 #pragma once
 
 #include <functional>
@@ -47,7 +47,8 @@
     void finish(RequestId id, const core::Final& answer);
     void cut(RequestId id);
     // `pause` is called with true when the client is slow to take the answer, with false when it goes on.
-    void answer_begins(RequestId id, const std::string& host, wire::Head& head, std::function<void(bool)> pause);
+    void answer_begins(RequestId id, const std::string& host, wire::Head& head,
+                       std::function<void(bool)> pause);
     void answer_body(RequestId id, std::string_view bytes);
     void answer_ended(RequestId id, bool whole, const wire::Fields& trailers);
 
--- a/src/fronts/http/resolve.cpp
+++ b/src/fronts/http/resolve.cpp
@@ -29,8 +29,10 @@
                                    const openapi::RouteTable::Found* found) {
     std::vector<std::string> values;
     switch (carrier.place) {
-        case Place::query: return query_values(query, carrier.name);
-        case Place::cookie: return cookie_values(head.fields, carrier.name);
+        case Place::query:
+            return query_values(query, carrier.name);
+        case Place::cookie:
+            return cookie_values(head.fields, carrier.name);
         case Place::path:
             for (const auto& [name, value] : found ? found->parameters : decltype(found->parameters){})
                 if (name == carrier.name) values.push_back(value);
@@ -57,10 +59,13 @@
 }
 }  // namespace
 
-std::string anonymous_account(std::string_view client_address) { return "anonymous@" + std::string(client_address); }
+std::string anonymous_account(std::string_view client_address) {
+    return "anonymous@" + std::string(client_address);
+}
 
 std::optional<Target> split_target(std::string_view target) {
-    if (const std::size_t scheme = target.find("://"); scheme != std::string_view::npos && target.front() != '/') {
+    if (const std::size_t scheme = target.find("://");
+        scheme != std::string_view::npos && target.front() != '/') {
         const std::string_view name = target.substr(0, scheme);
         if (!wire::same_name(name, "http") && !wire::same_name(name, "https")) return std::nullopt;
         const std::size_t path = target.find_first_of("/?", scheme + 3);
@@ -108,19 +113,26 @@
 std::optional<Refusal> Resolver::resolve(const wire::Head& head, const openapi::Description& description,
                                          Resolved& into) const {
     const auto method = openapi::method_of(head.method);
-    if (!method) return Refusal{501, "Unknown method", fmt::format("no description can have {}", head.method), {}, false};
+    if (!method)
+        return Refusal{
+            501, "Unknown method", fmt::format("no description can have {}", head.method), {}, false};
     const auto target = split_target(head.target);
     if (!target) return Refusal{400, "Bad target", "expected a path, or an absolute http URL", {}, false};
     switch (openapi::check_path(target->path)) {
-        case openapi::PathFault::none: break;
+        case openapi::PathFault::none:
+            break;
         case openapi::PathFault::dot_segment:
-            return Refusal{400, "Bad path", "dot segments are not resolved here; send the path they lead to", {}, false};
-        default: return Refusal{400, "Bad path", "a malformed escape, or an escaped slash, backslash or NUL", {}, false};
+            return Refusal{
+                400, "Bad path", "dot segments are not resolved here; send the path they lead to", {}, false};
+        default:
+            return Refusal{
+                400, "Bad path", "a malformed escape, or an escaped slash, backslash or NUL", {}, false};
     }
     const auto found = description.table.find(*method, target->path);
     if (!found.path_known) return Refusal{404, "Unknown path", "the description has no such path", {}, false};
     if (!found.route)
-        return Refusal{405, "Method not allowed", "the description has the path with other methods", found.allowed, false};
+        return Refusal{405, "Method not allowed", "the description has the path with other methods",
+                       found.allowed, false};
     into.route = found.route;
     // The effect rests on the key: where one may be absent, a request without it must not be repeated.
     Effect effect = found.route->effect;
@@ -129,7 +141,8 @@
     for (const std::string_view word : connection)
         if (wire::same_name(word, "Idempotency-Key") || wire::same_name(word, "Host") ||
             wire::same_name(word, "Content-Length"))
-            return Refusal{400, "Bad Connection field", "it names a field that is meant for the host", {}, false};
+            return Refusal{
+                400, "Bad Connection field", "it names a field that is meant for the host", {}, false};
     if (!key && found.route->key_required)
         return Refusal{400, "Missing Idempotency-Key", "the operation requires it", {}, false};
     if (effect == Effect::keyed && (!key || key->empty())) effect = Effect::unsafe;
@@ -143,9 +156,14 @@
             std::int64_t ms = 0;
             const auto read = std::from_chars(field->data(), field->data() + field->size(), ms);
             if (read.ec != std::errc() || read.ptr != field->data() + field->size() || ms < 0)
-                return Refusal{400, "Bad deadline", fmt::format("{}: expected whole milliseconds",
-                                                                config_.listen().deadline_header()), {}, false};
-            into.deadline = std::min<Micros>(into.deadline, std::chrono::milliseconds(std::min<std::int64_t>(ms, 1'000'000'000)));
+                return Refusal{
+                    400,
+                    "Bad deadline",
+                    fmt::format("{}: expected whole milliseconds", config_.listen().deadline_header()),
+                    {},
+                    false};
+            into.deadline = std::min<Micros>(
+                into.deadline, std::chrono::milliseconds(std::min<std::int64_t>(ms, 1'000'000'000)));
         }
     into.path = std::string(target->path);
     if (target->has_query) into.path.append("?").append(target->query);
@@ -153,13 +171,15 @@
 }
 
 // The key is taken only from where the description has it. Two different ones name no account.
-std::optional<Refusal> Resolver::find_account(const wire::Head& head, std::string_view query, Resolved& into) const {
+std::optional<Refusal> Resolver::find_account(const wire::Head& head, std::string_view query,
+                                              Resolved& into) const {
     std::set<std::string> keys;
     for (const Carrier& carrier : into.route->keys)
         for (std::string& value : values_at(carrier, head, query, nullptr)) keys.insert(std::move(value));
     if (keys.empty() && into.route->anonymous) return std::nullopt;
     if (keys.empty()) return Refusal{401, "Key missing", "the operation needs an account's key", {}, true};
-    if (keys.size() > 1) return Refusal{401, "More than one key", "the request carries different keys", {}, true};
+    if (keys.size() > 1)
+        return Refusal{401, "More than one key", "the request carries different keys", {}, true};
     into.account = accounts_.by_key(*keys.begin());
     if (!into.account) return Refusal{401, "Unknown key", "no account has this key", {}, true};
     return std::nullopt;
@@ -175,8 +195,12 @@
     const auto value = number(values.front());
     const double most = openapi::Policy{}.most_units;
     if (values.size() > 1 || !value || !(*value >= 0 && *value <= most))
-        return Refusal{400, "Bad units", fmt::format("{} {}: expected one number from 0 to {}",
-                                                     to_string(carrier.place), carrier.name, most), {}, false};
+        return Refusal{400,
+                       "Bad units",
+                       fmt::format("{} {}: expected one number from 0 to {}", to_string(carrier.place),
+                                   carrier.name, most),
+                       {},
+                       false};
     into.units = *value;
     return std::nullopt;
 }
--- a/src/fronts/http/resolve.h
+++ b/src/fronts/http/resolve.h
@@ -31,13 +31,14 @@
     std::string path;    // as it goes to hosts, with the query
 };
 
-// The account of requests that carry no key, where the description allows that: by the client's address, so that
-// strangers do not share one total.
+// The account of requests that carry no key, where the description allows that: by the client's address, so
+// that strangers do not share one total.
 std::string anonymous_account(std::string_view client_address);
 
 class Resolver {
   public:
-    Resolver(const config::Config& config, const config::Accounts& accounts) : config_(config), accounts_(accounts) {}
+    Resolver(const config::Config& config, const config::Accounts& accounts)
+        : config_(config), accounts_(accounts) {}
     // `description` must outlive what is resolved.
     std::optional<Refusal> resolve(const wire::Head& head, const openapi::Description& description,
                                    Resolved& into) const;
--- a/src/fronts/http/translate.cpp
+++ b/src/fronts/http/translate.cpp
@@ -18,11 +18,13 @@
 Identity identity_of(const wire::Head& head, const std::function<std::uint64_t()>& random) {
     Identity identity;
     const std::string* id = wire::find(head.fields, "X-Request-Id");
-    identity.request_id = id && wire::sound_request_id(*id) ? *id : fmt::format("{:016x}{:016x}", random(), random());
+    identity.request_id =
+        id && wire::sound_request_id(*id) ? *id : fmt::format("{:016x}{:016x}", random(), random());
     const std::string* trace = wire::find(head.fields, "traceparent");
-    identity.traceparent = trace && wire::sound_traceparent(*trace)
-                               ? *trace
-                               : fmt::format("00-{:016x}{:016x}-{:016x}-00", random(), random() | 1, random() | 1);
+    identity.traceparent =
+        trace && wire::sound_traceparent(*trace)
+            ? *trace
+            : fmt::format("00-{:016x}{:016x}-{:016x}-00", random(), random() | 1, random() | 1);
     return identity;
 }
 
@@ -43,7 +45,8 @@
                  !is("traceparent") && !is("Silverreach-Attempt") && !wire::hop_by_hop(connection, f.name))
             add(out, f.name, f.value);
     }
-    if (body > 0 || head.chunked || head.has_length) add(out, "Content-Length", fmt::format_int(body).c_str());
+    if (body > 0 || head.chunked || head.has_length)
+        add(out, "Content-Length", fmt::format_int(body).c_str());
     add(out, "Via", via_line + fmt::format("1.{} {}", head.minor, via));
     add(out, "Forwarded", forwarded + "for=" + quoted_address(client_address) + ";proto=http");
     add(out, "X-Request-Id", identity.request_id);
@@ -109,13 +112,27 @@
     own.type = reason_name(answer.refuse_reason);
     own.detail = "Trying again is harmless.";
     switch (answer.refuse_reason) {
-        case RefuseReason::quota: own.status = 429, own.title = "The account's quota is spent"; break;
-        case RefuseReason::ceiling: own.status = 429, own.title = "The account's ceiling is reached"; break;
-        case RefuseReason::open: own.status = 429, own.title = "The account has too many requests open"; break;
-        case RefuseReason::pressed: own.status = 503, own.title = "The back end is pressed"; break;
-        case RefuseReason::no_host: own.status = 503, own.title = "No host could take the request in time"; break;
-        case RefuseReason::no_answer: own.status = 504, own.title = "No answer in time"; break;
-        case RefuseReason::late: own.status = 504, own.title = "The request came with no time left"; break;
+        case RefuseReason::quota:
+            own.status = 429, own.title = "The account's quota is spent";
+            break;
+        case RefuseReason::ceiling:
+            own.status = 429, own.title = "The account's ceiling is reached";
+            break;
+        case RefuseReason::open:
+            own.status = 429, own.title = "The account has too many requests open";
+            break;
+        case RefuseReason::pressed:
+            own.status = 503, own.title = "The back end is pressed";
+            break;
+        case RefuseReason::no_host:
+            own.status = 503, own.title = "No host could take the request in time";
+            break;
+        case RefuseReason::no_answer:
+            own.status = 504, own.title = "No answer in time";
+            break;
+        case RefuseReason::late:
+            own.status = 504, own.title = "The request came with no time left";
+            break;
     }
     return own;
 }
@@ -128,7 +145,8 @@
     if (refusal.status == 405) {
         std::string allowed;
         for (const openapi::Method m : refusal.allowed)
-            allowed.append(allowed.empty() ? "" : ", ").append(openapi::method_names[static_cast<std::size_t>(m)]);
+            allowed.append(allowed.empty() ? "" : ", ")
+                .append(openapi::method_names[static_cast<std::size_t>(m)]);
         add(own.fields, "Allow", allowed);
     }
     return own;
--- a/src/http/head.cpp
+++ b/src/http/head.cpp
@@ -64,7 +64,8 @@
         return Fault{400, "a Content-Length that is not digits alone"};
     if (f.length.size() > most_length_digits) return Fault{413, "a Content-Length beyond all limits"};
     if (f.codings && http_1_0) return Fault{400, "Transfer-Encoding in HTTP/1.0"};
-    if (f.codings && !same_name(f.coding, "chunked")) return Fault{501, "a transfer coding other than chunked"};
+    if (f.codings && !same_name(f.coding, "chunked"))
+        return Fault{501, "a transfer coding other than chunked"};
     return std::nullopt;
 }
 
@@ -93,7 +94,9 @@
     }
     return false;
 }
-bool token(std::string_view text) { return !text.empty() && std::all_of(text.begin(), text.end(), token_char); }
+bool token(std::string_view text) {
+    return !text.empty() && std::all_of(text.begin(), text.end(), token_char);
+}
 
 std::size_t head_end(std::string_view bytes, std::size_t from) {
     const std::size_t at = bytes.find("\r\n\r\n", from < 3 ? 0 : from - 3);
@@ -117,7 +120,8 @@
     if (line.find_first_of(std::string_view("\n\r\0", 3)) != std::string_view::npos)
         return Fault{400, "a control character in the request line"};
     const std::size_t first = line.find(' '), last = line.rfind(' ');
-    if (first == std::string_view::npos || first == last) return Fault{400, "a request line that is not whole"};
+    if (first == std::string_view::npos || first == last)
+        return Fault{400, "a request line that is not whole"};
     const std::string_view method = line.substr(0, first), target = line.substr(first + 1, last - first - 1);
     const std::string_view version = line.substr(last + 1);
     if (!token(method)) return Fault{400, "a method that is no token"};
@@ -126,13 +130,16 @@
     for (const char c : target)
         if (c <= 0x20 || c == 0x7F || static_cast<unsigned char>(c) >= 0x80)
             return Fault{400, "a target with characters that must be escaped"};
-    if (version.size() != 8 || !version.starts_with("HTTP/")) return Fault{400, "a request line that is not whole"};
-    if (version != "HTTP/1.1" && version != "HTTP/1.0") return Fault{505, "a version other than HTTP/1.0 or 1.1"};
+    if (version.size() != 8 || !version.starts_with("HTTP/"))
+        return Fault{400, "a request line that is not whole"};
+    if (version != "HTTP/1.1" && version != "HTTP/1.0")
+        return Fault{505, "a version other than HTTP/1.0 or 1.1"};
     Framing framing;
     if (auto fault = check_fields(head.substr(end + 2), limits.fields, framing)) return fault;
     const bool http_1_0 = version == "HTTP/1.0";
     if (auto fault = check_framing(framing, http_1_0)) return fault;
-    if (framing.hosts > 1 || (framing.hosts == 0 && !http_1_0)) return Fault{400, "Host missing or more than once"};
+    if (framing.hosts > 1 || (framing.hosts == 0 && !http_1_0))
+        return Fault{400, "Host missing or more than once"};
     if (!sound_host(framing.host)) return Fault{400, "a Host that is no host"};
     return std::nullopt;
 }
@@ -160,15 +167,18 @@
 }
 bool hop_by_hop(const std::vector<std::string_view>& connection, std::string_view name) {
     static constexpr std::array<std::string_view, 10> always = {
-        "Connection", "Keep-Alive", "Proxy-Connection",    "TE",    "Transfer-Encoding",
-        "Trailer",    "Upgrade",    "Proxy-Authorization", "HTTP2-Settings", "Proxy-Authenticate"};
+        "Connection",        "Keep-Alive",        "Proxy-Connection", "TE",
+        "Transfer-Encoding", "Trailer",           "Upgrade",          "Proxy-Authorization",
+        "HTTP2-Settings",    "Proxy-Authenticate"};
     const auto is = [&](std::string_view other) { return same_name(name, other); };
-    return std::any_of(always.begin(), always.end(), is) || std::any_of(connection.begin(), connection.end(), is);
+    return std::any_of(always.begin(), always.end(), is) ||
+           std::any_of(connection.begin(), connection.end(), is);
 }
 
 bool sound_request_id(std::string_view text) {
     return !text.empty() && text.size() <= 64 && std::all_of(text.begin(), text.end(), [](char c) {
-        return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z') || c == '.' || c == '_' || c == '-';
+        return (c >= '0' && c <= '9') || (lower(c) >= 'a' && lower(c) <= 'z') || c == '.' || c == '_' ||
+               c == '-';
     });
 }
 bool sound_traceparent(std::string_view t) {
@@ -180,19 +190,36 @@
         }
         return !zero || n == 2;
     };
-    return t.size() == 55 && t.starts_with("00-") && t[35] == '-' && t[52] == '-' && hex(3, 32) && hex(36, 16) &&
-           hex(53, 2);
+    return t.size() == 55 && t.starts_with("00-") && t[35] == '-' && t[52] == '-' && hex(3, 32) &&
+           hex(36, 16) && hex(53, 2);
 }
 
 std::string_view reason_phrase(int status) {
-    static constexpr std::array<std::pair<int, std::string_view>, 24> phrases = {{
-        {200, "OK"}, {201, "Created"}, {202, "Accepted"}, {204, "No Content"}, {304, "Not Modified"},
-        {400, "Bad Request"}, {401, "Unauthorized"}, {403, "Forbidden"}, {404, "Not Found"},
-        {405, "Method Not Allowed"}, {408, "Request Timeout"}, {409, "Conflict"}, {413, "Content Too Large"},
-        {414, "URI Too Long"}, {417, "Expectation Failed"}, {421, "Misdirected Request"},
-        {429, "Too Many Requests"}, {431, "Request Header Fields Too Large"}, {500, "Internal Server Error"},
-        {501, "Not Implemented"}, {502, "Bad Gateway"}, {503, "Service Unavailable"}, {504, "Gateway Timeout"},
-        {505, "HTTP Version Not Supported"}}};
+    static constexpr std::array<std::pair<int, std::string_view>, 24> phrases = {
+        {{200, "OK"},
+         {201, "Created"},
+         {202, "Accepted"},
+         {204, "No Content"},
+         {304, "Not Modified"},
+         {400, "Bad Request"},
+         {401, "Unauthorized"},
+         {403, "Forbidden"},
+         {404, "Not Found"},
+         {405, "Method Not Allowed"},
+         {408, "Request Timeout"},
+         {409, "Conflict"},
+         {413, "Content Too Large"},
+         {414, "URI Too Long"},
+         {417, "Expectation Failed"},
+         {421, "Misdirected Request"},
+         {429, "Too Many Requests"},
+         {431, "Request Header Fields Too Large"},
+         {500, "Internal Server Error"},
+         {501, "Not Implemented"},
+         {502, "Bad Gateway"},
+         {503, "Service Unavailable"},
+         {504, "Gateway Timeout"},
+         {505, "HTTP Version Not Supported"}}};
     for (const auto& [code, phrase] : phrases)
         if (code == status) return phrase;
     return "";
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -92,7 +92,8 @@
         }
         head_ = Head{};
         if (kind_ == Kind::request) {
-            // http-parser knows some methods, and changes its ways for CONNECT; which are fit is not its to say.
+            // http-parser knows some methods, and changes its ways for CONNECT; which are fit is not its to
+            // say.
             head_.method = head.substr(0, head.find(' '));
             head.replace(0, head_.method.size(), "POST");
         }
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -1,5 +1,5 @@
-// One HTTP/1.1 message after another from a stream of bytes, on http-parser. Heads are held back until whole and
-// judged by head.h first. No I/O.
+// One HTTP/1.1 message after another from a stream of bytes, on http-parser. Heads are held back until whole
+// and judged by head.h first. No I/O.
 #pragma once
 
 #include <http_parser.h>
@@ -37,11 +37,11 @@
     };
     Parser(Kind kind, Events& events, HeadLimits limits = {});
 
-    // Takes bytes up to the end of one message; returns how many were taken. Bytes of a head that is not whole
-    // yet are kept here. After a message's end call next() before feeding more.
+    // Takes bytes up to the end of one message; returns how many were taken. Bytes of a head that is not
+    // whole yet are kept here. After a message's end call next() before feeding more.
     std::size_t feed(std::string_view bytes);
     void finish();  // the stream ended: ends an answer that ends so, else a fault if a message is under way
-    void next();  // ready for another message, whatever was before
+    void next();    // ready for another message, whatever was before
     void answer_to_head(bool yes) { to_head_ = yes; }  // the next answer has no body
 
     bool idle() const { return !in_message_ && kept_.empty(); }  // between messages, not a byte of the next
--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -11,10 +11,14 @@
 namespace {
 spdlog::level::level_enum level_of(Level level) {
     switch (level) {
-        case Level::debug: return spdlog::level::debug;
-        case Level::info: return spdlog::level::info;
-        case Level::warning: return spdlog::level::warn;
-        case Level::error: return spdlog::level::err;
+        case Level::debug:
+            return spdlog::level::debug;
+        case Level::info:
+            return spdlog::level::info;
+        case Level::warning:
+            return spdlog::level::warn;
+        case Level::error:
+            return spdlog::level::err;
     }
     return spdlog::level::info;
 }
@@ -29,7 +33,10 @@
         if (form == Form::json) out.append(",\"").append(name).append("\":");
         else out.append(" ").append(name).append("=");
         if (const auto* text = std::get_if<std::string>(&value)) {
-            const bool plain = !text->empty() && text->find_first_not_of("ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_./:@") == std::string::npos;
+            const bool plain = !text->empty() &&
+                               text->find_first_not_of(
+                                   "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_./:@") ==
+                                   std::string::npos;
             out += form == Form::readable && plain ? *text : quoted(*text);
         } else if (const auto* number = std::get_if<std::int64_t>(&value)) {
             out += std::to_string(*number);
@@ -50,7 +57,8 @@
         throw std::runtime_error(error.what());
     }
     logger_->set_pattern(form == Form::json ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})"
-                                            : "%Y-%m-%dT%H:%M:%S.%eZ %L %v", spdlog::pattern_time_type::utc);
+                                            : "%Y-%m-%dT%H:%M:%S.%eZ %L %v",
+                         spdlog::pattern_time_type::utc);
     logger_->set_level(level_of(least));
     logger_->flush_on(spdlog::level::warn);
 }
--- a/src/openapi/description.cpp
+++ b/src/openapi/description.cpp
@@ -30,7 +30,8 @@
         if (!root.is(Kind::mapping)) return problem(root, "document", "a mapping with 'openapi'"), nullptr;
         const std::string version = scalar(root, "openapi", "");
         if (!version.starts_with("3.0.") && !version.starts_with("3.1."))
-            problem(at(root, "openapi"), "openapi", fmt::format("a version 3.0.x or 3.1.x, not '{}'", version));
+            problem(at(root, "openapi"), "openapi",
+                    fmt::format("a version 3.0.x or 3.1.x, not '{}'", version));
         if (const Value* info = root.find("info")) {
             description_->title = scalar(*info, "title", "");
             description_->version = scalar(*info, "version", "");
@@ -67,7 +68,8 @@
         return fallback;
     }
 
-    // Follows $ref within this file; nullptr and a problem where it leads nowhere, outside or round in a circle.
+    // Follows $ref within this file; nullptr and a problem where it leads nowhere, outside or round in a
+    // circle.
     const Value* resolve(const Value& value, const std::string& field) {
         const Value* now = &value;
         for (int steps = 0; steps < most_references; ++steps) {
@@ -97,8 +99,9 @@
             std::string token = decode_pointer(path.substr(0, end));
             path.remove_prefix(end);
             if (now->is(Kind::sequence)) {
-                const bool digits = !token.empty() && token.size() < 9 &&
-                                    std::all_of(token.begin(), token.end(), [](char c) { return c >= '0' && c <= '9'; });
+                const bool digits =
+                    !token.empty() && token.size() < 9 &&
+                    std::all_of(token.begin(), token.end(), [](char c) { return c >= '0' && c <= '9'; });
                 const std::size_t i = digits ? std::stoul(token) : now->items.size();
                 now = i < now->items.size() ? &now->items[i] : nullptr;
             } else {
@@ -114,10 +117,11 @@
                 out.push_back(token[++i] == '0' ? '~' : '/');
             else if (token[i] == '%' && i + 2 < token.size()) {
                 const auto decoded = decode_segment(token.substr(i, 3));
-                out += decoded ? *decoded : (token.substr(i, 3) == "%2F" || token.substr(i, 3) == "%2f") ? "/" : "";
+                out += decoded                                                        ? *decoded
+                       : (token.substr(i, 3) == "%2F" || token.substr(i, 3) == "%2f") ? "/"
+                                                                                      : "";
                 i += 2;
-            } else
-                out.push_back(token[i]);
+            } else out.push_back(token[i]);
         }
         return out;
     }
@@ -141,8 +145,7 @@
                 const bool plain = base.empty() || check_path(base) == PathFault::none;
                 if (!plain || base.find_first_of("{}?#") != std::string::npos)
                     problem(*url, field + "[].url", fmt::format("a URL whose path is plain, not '{}'", base));
-                else if (std::find(bases.begin(), bases.end(), base) == bases.end())
-                    bases.push_back(base);
+                else if (std::find(bases.begin(), bases.end(), base) == bases.end()) bases.push_back(base);
             }
         }
         if (bases.empty()) bases.push_back("");  // an empty list counts as [{url: /}]
@@ -164,7 +167,8 @@
             const std::size_t open = urls.front().find('{', from);
             if (open == std::string::npos) return urls;
             const std::size_t close = urls.front().find('}', open);
-            if (close == std::string::npos) return problem(server, field + "[].url", "a '}' for each '{'"), urls;
+            if (close == std::string::npos)
+                return problem(server, field + "[].url", "a '}' for each '{'"), urls;
             const std::string braces = urls.front().substr(open, close - open + 1);
             const std::string name = braces.substr(1, braces.size() - 2);
             const Value* variables = server.find("variables");
@@ -192,8 +196,11 @@
             }
             urls = std::move(next);
             from = 0;
-            if (std::any_of(values.begin(), values.end(), [](const std::string& v) { return v.find('{') != v.npos; }))
-                return problem(server, fmt::format("{}[].variables.{}", field, name), "values without braces"), urls;
+            if (std::any_of(values.begin(), values.end(),
+                            [](const std::string& v) { return v.find('{') != v.npos; }))
+                return problem(server, fmt::format("{}[].variables.{}", field, name),
+                               "values without braces"),
+                       urls;
         }
     }
 
@@ -220,13 +227,15 @@
                 schemes_[name] = carrier;
             } else if (type == "http") {
                 std::string how = scalar(*scheme, "scheme", "");
-                std::transform(how.begin(), how.end(), how.begin(), [](unsigned char c) { return std::tolower(c); });
+                std::transform(how.begin(), how.end(), how.begin(),
+                               [](unsigned char c) { return std::tolower(c); });
                 carrier.name = "Authorization", carrier.bearer = true;
                 schemes_[name] = how == "bearer" ? std::optional(carrier) : std::nullopt;
             } else if (type == "oauth2" || type == "openIdConnect" || type == "mutualTLS") {
                 schemes_[name] = std::nullopt;
             } else {
-                problem(at(*scheme, "type"), field + ".type", "apiKey, http, mutualTLS, oauth2 or openIdConnect");
+                problem(at(*scheme, "type"), field + ".type",
+                        "apiKey, http, mutualTLS, oauth2 or openIdConnect");
             }
         }
     }
@@ -244,8 +253,7 @@
                 const auto it = schemes_.find(name);
                 if (it == schemes_.end())
                     problem(scopes, field + ".security." + name, "a name of components.securitySchemes");
-                else if (it->second && !usable)
-                    usable = it->second;
+                else if (it->second && !usable) usable = it->second;
             }
             if (usable && std::find(route.keys.begin(), route.keys.end(), *usable) == route.keys.end())
                 route.keys.push_back(*usable);
@@ -270,8 +278,10 @@
             const Value* parameter = resolve(raw, field + ".parameters[]");
             if (!parameter) continue;
             const std::string name = scalar(*parameter, "name", ""), in = scalar(*parameter, "in", "");
-            static const std::map<std::string, Place> places = {
-                {"header", Place::header}, {"query", Place::query}, {"cookie", Place::cookie}, {"path", Place::path}};
+            static const std::map<std::string, Place> places = {{"header", Place::header},
+                                                                {"query", Place::query},
+                                                                {"cookie", Place::cookie},
+                                                                {"path", Place::path}};
             const auto place = places.find(in);
             if (name.empty() || place == places.end()) {
                 problem(*parameter, field + ".parameters[]", "a name, and in: header, query, cookie or path");
@@ -285,7 +295,8 @@
     }
     static std::string lower_if_header(const std::string& in, std::string name) {
         if (in == "header")
-            std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) { return std::tolower(c); });
+            std::transform(name.begin(), name.end(), name.begin(),
+                           [](unsigned char c) { return std::tolower(c); });
         return name;
     }
 
@@ -301,7 +312,8 @@
         const std::vector<std::string> path_bases = read_servers(*item, bases, path + ".servers");
         for (std::size_t i = 0; i < method_names.size(); ++i) {
             std::string key(method_names[i]);
-            std::transform(key.begin(), key.end(), key.begin(), [](unsigned char c) { return std::tolower(c); });
+            std::transform(key.begin(), key.end(), key.begin(),
+                           [](unsigned char c) { return std::tolower(c); });
             const Value* operation = item->find(key);
             if (!operation) continue;
             const std::string field = fmt::format("{} {}", method_names[i], path);
@@ -313,14 +325,16 @@
             read_parameters(*operation, parameters, field);
             for (const std::string& name : names)
                 if (!parameters.count({"path", name}))
-                    problem(*operation, field, fmt::format("a path parameter '{}' among its parameters", name));
+                    problem(*operation, field,
+                            fmt::format("a path parameter '{}' among its parameters", name));
             read_operation(static_cast<Method>(i), path, *item, *operation, parameters,
                            read_servers(*operation, path_bases, field + ".servers"), field);
         }
     }
 
     bool check_template(const std::string& path, const Value& where, std::vector<std::string>& names) {
-        if (path.empty() || path.front() != '/') return problem(where, path, "a path that starts with '/'"), false;
+        if (path.empty() || path.front() != '/')
+            return problem(where, path, "a path that starts with '/'"), false;
         std::size_t open = std::string::npos;
         std::size_t after_close = std::string::npos;
         for (std::size_t i = 0; i < path.size(); ++i) {
@@ -330,7 +344,8 @@
                     return problem(where, path, "names in braces with text between them"), false;
                 open = i;
             } else if (path[i] == '}') {
-                if (!inside || open + 1 == i) return problem(where, path, "a name in each pair of braces"), false;
+                if (!inside || open + 1 == i)
+                    return problem(where, path, "a name in each pair of braces"), false;
                 names.push_back(path.substr(open + 1, i - open - 1));
                 open = std::string::npos, after_close = i + 1;
             } else if (path[i] == '/' && inside) {
@@ -349,8 +364,9 @@
 
     void check_extensions(const Value& owner, const std::string& field) {
         for (const auto& [name, value] : owner.members)
-            if (name.starts_with(extension) && name != "x-silverreach-class" && name != "x-silverreach-units" &&
-                name != "x-silverreach-units-from" && name != "x-silverreach-effect")
+            if (name.starts_with(extension) && name != "x-silverreach-class" &&
+                name != "x-silverreach-units" && name != "x-silverreach-units-from" &&
+                name != "x-silverreach-effect")
                 problem(value, field.empty() ? name : field + "." + name,
                         "x-silverreach-class, -units, -units-from or -effect");
     }
@@ -361,7 +377,9 @@
         if (const Value* value = root_->find(full)) return {value, "root"};
         return {};
     }
-    static std::string origin(const Found& found) { return fmt::format("{}:{}", found.level, found.value->line); }
+    static std::string origin(const Found& found) {
+        return fmt::format("{}:{}", found.level, found.value->line);
+    }
 
     void read_operation(Method method, const std::string& path, const Value& item, const Value& operation,
                         const Parameters& parameters, const std::vector<std::string>& bases,
@@ -379,7 +397,8 @@
             placed.path = base + path;
             if (const Route* same = description_->table.add(std::move(placed)))
                 problem(operation, field,
-                        fmt::format("another path; the same one stands at line {} as {}", same->line, same->path));
+                        fmt::format("another path; the same one stands at line {} as {}", same->line,
+                                    same->path));
         }
     }
 
@@ -387,7 +406,8 @@
         const Found found = nearest("class", operation, item);
         if (!found.value) {
             if (policy_.reject_unpriced)
-                return problem(operation, field, "a class (x-silverreach-class here, on the path or the root)");
+                return problem(operation, field,
+                               "a class (x-silverreach-class here, on the path or the root)");
             route.request_class = policy_.default_class, route.class_origin = "policy";
             return;
         }
@@ -395,8 +415,9 @@
         if (!found.value->is(Kind::scalar) || route.request_class.empty())
             problem(*found.value, field + " x-silverreach-class", "a class name");
         else if (!policy_.classes.empty() && !policy_.classes.count(route.request_class))
-            problem(*found.value, field + " x-silverreach-class",
-                    fmt::format("one of {}, not '{}'", fmt::join(policy_.classes, ", "), route.request_class));
+            problem(
+                *found.value, field + " x-silverreach-class",
+                fmt::format("one of {}, not '{}'", fmt::join(policy_.classes, ", "), route.request_class));
     }
 
     void read_units(Route& route, const Value& operation, const Value& item, const Parameters& parameters,
@@ -418,7 +439,8 @@
         const Value* name = from.value->find("name");
         const std::string place = in ? in->text : "";
         if (!name || (place != "header" && place != "query" && place != "path"))
-            return problem(*from.value, field + " x-silverreach-units-from", "{in: header|query|path, name: NAME}");
+            return problem(*from.value, field + " x-silverreach-units-from",
+                           "{in: header|query|path, name: NAME}");
         const auto it = parameters.find({place, lower_if_header(place, name->text)});
         if (it == parameters.end())
             return problem(*from.value, field + " x-silverreach-units-from",
@@ -460,7 +482,8 @@
 std::string carriers_text(const Route& route) {
     std::string out;
     for (const Carrier& c : route.keys)
-        out += (out.empty() ? "" : ", ") + (c.bearer ? "bearer" : fmt::format("{} {}", to_string(c.place), c.name));
+        out += (out.empty() ? "" : ", ") +
+               (c.bearer ? "bearer" : fmt::format("{} {}", to_string(c.place), c.name));
     if (route.anonymous) out += out.empty() ? "none" : ", or none";
     return out;
 }
@@ -475,10 +498,11 @@
 
 std::string table_text(const Description& description) {
     constexpr std::array<std::string_view, 3> effects = {"safe", "keyed", "unsafe"};
-    std::vector<std::array<std::string, 7>> rows = {{"METHOD", "PATH", "CLASS", "UNITS", "EFFECT", "KEY", "FROM"}};
+    std::vector<std::array<std::string, 7>> rows = {
+        {"METHOD", "PATH", "CLASS", "UNITS", "EFFECT", "KEY", "FROM"}};
     for (const auto& r : description.table.routes())
-        rows.push_back({std::string(method_names[static_cast<std::size_t>(r->method)]), r->path, r->request_class,
-                        fmt::format("{:g}{}", r->units, r->units_from ? "*" : ""),
+        rows.push_back({std::string(method_names[static_cast<std::size_t>(r->method)]), r->path,
+                        r->request_class, fmt::format("{:g}{}", r->units, r->units_from ? "*" : ""),
                         std::string(effects[static_cast<std::size_t>(r->effect)]), carriers_text(*r),
                         fmt::format("class {}, units {}, effect {}", r->class_origin, r->units_origin,
                                     r->effect_origin)});
--- a/src/openapi/document.cpp
+++ b/src/openapi/document.cpp
@@ -3,8 +3,8 @@
 #include <fmt/format.h>
 #include <yaml-cpp/yaml.h>
 
-#include <charconv>
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 #include <nlohmann/json.hpp>
 #include <unordered_set>
@@ -26,9 +26,11 @@
     }
     bool convert(const YAML::Node& node, Value& into, int depth) {
         into.line = node.Mark().line + 1;
-        if (depth > deepest) return fail(into.line, "document", fmt::format("nesting of {} at most", deepest));
+        if (depth > deepest)
+            return fail(into.line, "document", fmt::format("nesting of {} at most", deepest));
         if (++values > most_values)
-            return fail(into.line, "document", fmt::format("{} values at most, aliases included", most_values));
+            return fail(into.line, "document",
+                        fmt::format("{} values at most, aliases included", most_values));
         switch (node.Type()) {
             case YAML::NodeType::Scalar:
                 into.kind = Value::Kind::scalar;
@@ -41,8 +43,10 @@
                 for (std::size_t i = 0; const auto& item : node)
                     if (!convert(item, into.items[i++], depth + 1) && values > most_values) return false;
                 return whole;
-            case YAML::NodeType::Map: return members(node, into, depth);
-            default: return true;
+            case YAML::NodeType::Map:
+                return members(node, into, depth);
+            default:
+                return true;
         }
     }
     bool members(const YAML::Node& node, Value& into, int depth) {
@@ -102,13 +106,15 @@
     if (kind != Kind::scalar || quoted) return false;
     double value = 0;
     const auto read = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (read.ec != std::errc() || read.ptr != text.data() + text.size() || !std::isfinite(value)) return false;
+    if (read.ec != std::errc() || read.ptr != text.data() + text.size() || !std::isfinite(value))
+        return false;
     out = value;
     return true;
 }
 
 bool parse(std::string_view text, const std::string& file, Value& into, std::vector<Problem>& problems) {
-    // JSON is read by the YAML parser too, which knows lines; a JSON parser first refuses what only YAML allows.
+    // JSON is read by the YAML parser too, which knows lines; a JSON parser first refuses what only YAML
+    // allows.
     const std::size_t first = text.find_first_not_of(" \t\r\n");
     if (first != std::string_view::npos && (text[first] == '{' || text[first] == '[')) {
         try {
@@ -123,7 +129,8 @@
     try {
         const std::vector<YAML::Node> documents = YAML::LoadAll(std::string(text));
         if (documents.size() != 1) {
-            problems.push_back({file, 0, "document", fmt::format("one YAML or JSON document, not {}", documents.size())});
+            problems.push_back(
+                {file, 0, "document", fmt::format("one YAML or JSON document, not {}", documents.size())});
             return false;
         }
         Converter converter{file, problems};
@@ -131,7 +138,8 @@
         into.index();
         return whole;
     } catch (const YAML::Exception& error) {
-        problems.push_back({file, error.mark.line + 1, "document", fmt::format("valid YAML ({})", error.msg)});
+        problems.push_back(
+            {file, error.mark.line + 1, "document", fmt::format("valid YAML ({})", error.msg)});
         return false;
     }
 }
--- a/src/openapi/document.h
+++ b/src/openapi/document.h
@@ -1,5 +1,5 @@
-// A YAML or JSON text as a plain tree with line numbers. Bounded in depth and size, so that aliases cannot blow
-// it up. No I/O.
+// A YAML or JSON text as a plain tree with line numbers. Bounded in depth and size, so that aliases cannot
+// blow it up. No I/O.
 #pragma once
 
 #include <string>
@@ -26,8 +26,8 @@
     std::string text;  // of a scalar
     bool quoted = false;
     int line = 0;
-    std::vector<Value> items;                              // of a sequence
-    std::vector<std::pair<std::string, Value>> members;    // of a mapping, in the order of the text
+    std::vector<Value> items;                            // of a sequence
+    std::vector<std::pair<std::string, Value>> members;  // of a mapping, in the order of the text
 
     // The member of that name; nullptr where there is none or this is no mapping.
     const Value* find(std::string_view name) const;
--- a/src/openapi/route.cpp
+++ b/src/openapi/route.cpp
@@ -102,9 +102,12 @@
                                  [&](const Node::Pattern& p) { return p.literals == literals; });
         if (same == node->patterns.end()) {
             Node::Pattern fresh{std::move(literals), std::make_unique<Node>()};
-            const auto less = [](const Node::Pattern& a, const Node::Pattern& b) { return a.fixed() > b.fixed(); };
+            const auto less = [](const Node::Pattern& a, const Node::Pattern& b) {
+                return a.fixed() > b.fixed();
+            };
             same = node->patterns.insert(
-                std::upper_bound(node->patterns.begin(), node->patterns.end(), fresh, less), std::move(fresh));
+                std::upper_bound(node->patterns.begin(), node->patterns.end(), fresh, less),
+                std::move(fresh));
         }
         node = same->next.get();
     }
--- a/src/openapi/route.h
+++ b/src/openapi/route.h
@@ -39,21 +39,21 @@
     double units = 1;
     std::optional<Carrier> units_from;  // overrides `units` where the request has it
     Effect effect = Effect::safe;
-    bool key_required = false;       // the request must carry Idempotency-Key
-    std::vector<Carrier> keys;       // where the account's key may be, first match wins
-    bool anonymous = true;           // a request without a key is taken
+    bool key_required = false;  // the request must carry Idempotency-Key
+    std::vector<Carrier> keys;  // where the account's key may be, first match wins
+    bool anonymous = true;      // a request without a key is taken
     std::string class_origin, units_origin, effect_origin;  // for people: where each came from
     int line = 0;                                           // of the operation
 };
 
-
-// Path templates in a tree by segment: literals before templates, as the specification orders; a look-up's cost
-// grows with the path's length only.
+// Path templates in a tree by segment: literals before templates, as the specification orders; a look-up's
+// cost grows with the path's length only.
 class RouteTable {
   public:
     RouteTable();
     ~RouteTable();
-    // Returns the route that has the same method and the same template but for names; nullptr where it was added.
+    // Returns the route that has the same method and the same template but for names; nullptr where it was
+    // added.
     const Route* add(Route route);
     const std::vector<std::unique_ptr<Route>>& routes() const { return routes_; }
 
@@ -63,8 +63,8 @@
         std::vector<Method> allowed;
         std::vector<std::pair<std::string, std::string>> parameters;
     };
-    // `path`: absolute, without query, not normalized: dot segments are the caller's to refuse. A GET route also
-    // takes HEAD.
+    // `path`: absolute, without query, not normalized: dot segments are the caller's to refuse. A GET route
+    // also takes HEAD.
     Found find(Method method, std::string_view path) const;
 
   private:
--- a/src/peers/peers.cpp
+++ b/src/peers/peers.cpp
@@ -20,15 +20,16 @@
 }
 std::uint32_t get(std::string_view in, std::size_t at, int bytes) {
     std::uint32_t value = 0;
-    for (int i = 0; i < bytes; ++i) value = value << 8 | static_cast<unsigned char>(in[at + static_cast<std::size_t>(i)]);
+    for (int i = 0; i < bytes; ++i)
+        value = value << 8 | static_cast<unsigned char>(in[at + static_cast<std::size_t>(i)]);
     return value;
 }
 std::uint32_t fleet_hash(std::string_view fleet) { return XXH32(fleet.data(), fleet.size(), 0); }
 }  // namespace
 
 std::string_view to_string(Drop drop) {
-    constexpr std::array<std::string_view, drop_kinds> names = {"none",        "cut short",    "not ours", "other version",
-                                                                "other fleet", "unknown rank", "from elsewhere"};
+    constexpr std::array<std::string_view, drop_kinds> names = {
+        "none", "cut short", "not ours", "other version", "other fleet", "unknown rank", "from elsewhere"};
     return names[static_cast<std::size_t>(drop)];
 }
 
@@ -75,7 +76,8 @@
         if (o.ss_family == AF_INET6) {
             const auto& a = reinterpret_cast<const sockaddr_in6&>(storage);
             const auto& b = reinterpret_cast<const sockaddr_in6&>(o);
-            return a.sin6_port == b.sin6_port && std::memcmp(&a.sin6_addr, &b.sin6_addr, sizeof a.sin6_addr) == 0;
+            return a.sin6_port == b.sin6_port &&
+                   std::memcmp(&a.sin6_addr, &b.sin6_addr, sizeof a.sin6_addr) == 0;
         }
         const auto& a = reinterpret_cast<const sockaddr_in&>(storage);
         const auto& b = reinterpret_cast<const sockaddr_in&>(o);
@@ -92,8 +94,8 @@
     const Address& own = *addresses_[static_cast<std::size_t>(rank_)];
     fd_ = event::Fd(::socket(own.storage.ss_family, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!fd_ || ::bind(fd_.get(), own.get(), own.size) != 0)
-        throw std::runtime_error("peers: no socket at " + config.peers().peer(0).address() + " and so on: " +
-                                 std::strerror(errno));
+        throw std::runtime_error("peers: no socket at this instance's own address: " +
+                                 std::string(std::strerror(errno)));
     io_ = std::make_unique<event::Io>(loop, fd_.get(), [this](int) { receive(); });
     io_->want(event::readable);
 }
@@ -115,12 +117,14 @@
     for (int i = 0; i < receives_a_turn; ++i) {
         sockaddr_storage from{};
         socklen_t size = sizeof from;
-        const ssize_t n = ::recvfrom(fd_.get(), buffer, sizeof buffer, MSG_TRUNC, reinterpret_cast<sockaddr*>(&from), &size);
+        const ssize_t n = ::recvfrom(fd_.get(), buffer, sizeof buffer, MSG_TRUNC,
+                                     reinterpret_cast<sockaddr*>(&from), &size);
         if (n < 0 && errno == ECONNREFUSED) continue;  // an earlier datagram found nobody
         if (n < 0) return;
         const std::size_t got = std::min(static_cast<std::size_t>(n), sizeof buffer);
         Opened opened = open({buffer, got}, config_.fleet(), static_cast<int>(addresses_.size()));
-        if (opened.drop == Drop::none && (opened.rank == rank_ || !addresses_[static_cast<std::size_t>(opened.rank)]->same(from)))
+        if (opened.drop == Drop::none &&
+            (opened.rank == rank_ || !addresses_[static_cast<std::size_t>(opened.rank)]->same(from)))
             opened.drop = Drop::elsewhere;
         if (opened.drop != Drop::none) {
             ++stats_.dropped[static_cast<std::size_t>(opened.drop)];
--- a/src/peers/peers.h
+++ b/src/peers/peers.h
@@ -14,8 +14,8 @@
 
 namespace silverreach::peers {
 
-// Envelope: "SRCH", version, 0, rank (2 bytes), hash of the fleet's name (4), length of what follows (2); numbers
-// are big-endian.
+// Envelope: "SRCH", version, 0, rank (2 bytes), hash of the fleet's name (4), length of what follows (2);
+// numbers are big-endian.
 inline constexpr std::uint8_t envelope_version = 1;
 inline constexpr std::size_t envelope_size = 14, most_payload = 512;
 
@@ -36,7 +36,8 @@
     // Throws std::runtime_error where the socket cannot be had.
     Peers(event::Loop& loop, const config::Config& config, std::function<void(int, std::string)> arrived);
     ~Peers();
-    void send(int rank, std::string_view payload);  // below 0: every peer; what does not fit the socket is lost
+    void send(int rank,
+              std::string_view payload);  // below 0: every peer; what does not fit the socket is lost
 
     struct Stats {
         std::uint64_t sent = 0, received = 0, lost = 0;
--- a/src/roster/endpoints.cpp
+++ b/src/roster/endpoints.cpp
@@ -44,16 +44,24 @@
         Listed host;
         host.entry.zone = zone;
         const json* where = member(e, "endpoint", "endpoint");
-        host.entry.host = address(where ? member(*where, "address", "address") : nullptr, field + ".endpoint.address");
+        host.entry.host =
+            address(where ? member(*where, "address", "address") : nullptr, field + ".endpoint.address");
         if (host.entry.host.empty()) return;
-        if (!seen.insert(host.entry.host).second) return problem(field, "each address once, not " + host.entry.host + " again");
-        if (const json* more = member(*where, "additionalAddresses", "additional_addresses"); more && more->is_array())
-            for (const json& a : *more) host.addresses.push_back(address(member(a, "address", "address"), field + ".additionalAddresses"));
+        if (!seen.insert(host.entry.host).second)
+            return problem(field, "each address once, not " + host.entry.host + " again");
+        if (const json* more = member(*where, "additionalAddresses", "additional_addresses");
+            more && more->is_array())
+            for (const json& a : *more)
+                host.addresses.push_back(
+                    address(member(a, "address", "address"), field + ".additionalAddresses"));
         const std::string health = text_or(member(e, "healthStatus", "health_status"), "UNKNOWN");
-        if (health == "UNKNOWN" || health == "HEALTHY" || health == "DEGRADED") host.entry.state = HostState::up;
+        if (health == "UNKNOWN" || health == "HEALTHY" || health == "DEGRADED")
+            host.entry.state = HostState::up;
         else if (health == "DRAINING") host.entry.state = HostState::draining;
         else if (health == "UNHEALTHY" || health == "TIMEOUT") host.entry.state = HostState::gone;
-        else return problem(field + ".healthStatus", "HEALTHY, DRAINING, UNHEALTHY, TIMEOUT, DEGRADED or UNKNOWN");
+        else
+            return problem(field + ".healthStatus",
+                           "HEALTHY, DRAINING, UNHEALTHY, TIMEOUT, DEGRADED or UNKNOWN");
         if (const json* weight = member(e, "loadBalancingWeight", "load_balancing_weight")) {
             if (!weight->is_number() || weight->get<double>() < 1)
                 return problem(field + ".loadBalancingWeight", "a number from 1");
@@ -96,8 +104,8 @@
 };
 }  // namespace
 
-bool parse_endpoints(std::string_view text, const std::string& source, const std::string& cluster, HostList& into,
-                     std::vector<openapi::Problem>& problems) {
+bool parse_endpoints(std::string_view text, const std::string& source, const std::string& cluster,
+                     HostList& into, std::vector<openapi::Problem>& problems) {
     const std::size_t before = problems.size();
     into = {};
     Reader reader{source, problems, into, {}};
@@ -106,15 +114,16 @@
         root = json::parse(text);
     } catch (const json::parse_error& error) {
         const auto upto = text.substr(0, std::min(text.size(), error.byte));
-        problems.push_back({source, 1 + static_cast<int>(std::count(upto.begin(), upto.end(), '\n')), "document",
-                            std::string("valid JSON: ") + error.what()});
+        problems.push_back({source, 1 + static_cast<int>(std::count(upto.begin(), upto.end(), '\n')),
+                            "document", std::string("valid JSON: ") + error.what()});
         return false;
     }
     if (const json* resources = member(root, "resources", "resources")) {
         into.version = text_or(member(root, "versionInfo", "version_info"));
         bool found = false;
         for (const json& r : resources->is_array() ? *resources : json::array())
-            if (text_or(member(r, "clusterName", "cluster_name")) == cluster) reader.assignment(r), found = true;
+            if (text_or(member(r, "clusterName", "cluster_name")) == cluster)
+                reader.assignment(r), found = true;
         if (!found) reader.problem("resources", "a ClusterLoadAssignment of cluster '" + cluster + "'");
     } else if (text_or(member(root, "clusterName", "cluster_name")) == cluster) {
         reader.assignment(root);
@@ -124,12 +133,14 @@
     return problems.size() == before;
 }
 
-Micros StartTimes::place(const std::string& host, std::int64_t started_unix_ms, Micros now, std::int64_t unix_ms_now) {
+Micros StartTimes::place(const std::string& host, std::int64_t started_unix_ms, Micros now,
+                         std::int64_t unix_ms_now) {
     if (started_unix_ms <= 0) return Micros(0);
     auto& [wall, placed] = known_[host];
     if (wall != started_unix_ms) {
         wall = started_unix_ms;
-        const Micros age = std::chrono::milliseconds(std::max<std::int64_t>(0, unix_ms_now - started_unix_ms));
+        const Micros age =
+            std::chrono::milliseconds(std::max<std::int64_t>(0, unix_ms_now - started_unix_ms));
         // A start before this clock's own beginning is long past, which 0 would say too; 1 keeps it a start.
         placed = std::max(now - age, Micros(1));
     }
@@ -137,7 +148,8 @@
 }
 void StartTimes::keep_only(const std::vector<HostEntry>& hosts) {
     std::erase_if(known_, [&](const auto& k) {
-        return std::none_of(hosts.begin(), hosts.end(), [&](const HostEntry& h) { return h.host == k.first; });
+        return std::none_of(hosts.begin(), hosts.end(),
+                            [&](const HostEntry& h) { return h.host == k.first; });
     });
 }
 
--- a/src/roster/endpoints.h
+++ b/src/roster/endpoints.h
@@ -26,12 +26,13 @@
     std::vector<Listed> hosts;
 };
 
-// False, with every problem appended, where the text is no such list of the cluster; a list with one bad entry is
-// bad as a whole, since a host left out would count as gone.
-bool parse_endpoints(std::string_view text, const std::string& source, const std::string& cluster, HostList& into,
-                     std::vector<openapi::Problem>& problems);
+// False, with every problem appended, where the text is no such list of the cluster; a list with one bad
+// entry is bad as a whole, since a host left out would count as gone.
+bool parse_endpoints(std::string_view text, const std::string& source, const std::string& cluster,
+                     HostList& into, std::vector<openapi::Problem>& problems);
 
-// Start times by the wall clock, put on the gateway's own clock once each, so that they do not move with either.
+// Start times by the wall clock, put on the gateway's own clock once each, so that they do not move with
+// either.
 class StartTimes {
   public:
     Micros place(const std::string& host, std::int64_t started_unix_ms, Micros now, std::int64_t unix_ms_now);
--- a/src/roster/roster.cpp
+++ b/src/roster/roster.cpp
@@ -25,7 +25,8 @@
 class Roster::Asker : public event::StreamOwner, public http::Parser::Events {
   public:
     explicit Asker(Roster& roster)
-        : roster_(roster), endpoint_(*config::parse_endpoint(roster.config_.hosts().discovery())),
+        : roster_(roster),
+          endpoint_(*config::parse_endpoint(roster.config_.hosts().discovery())),
           parser_(http::Parser::Kind::response, *this) {
         tick();
     }
@@ -65,8 +66,10 @@
         const config::Config& c = roster_.config_;
         const nlohmann::json body = {
             {"versionInfo", roster_.version_},
-            {"node", {{"id", fmt::format("silverreach-{}", c.peers().rank())}, {"cluster", c.fleet()},
-                      {"locality", {{"zone", c.zone()}}}}},
+            {"node",
+             {{"id", fmt::format("silverreach-{}", c.peers().rank())},
+              {"cluster", c.fleet()},
+              {"locality", {{"zone", c.zone()}}}}},
             {"resourceNames", {c.hosts().cluster()}},
             {"typeUrl", "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"}};
         const std::string text = body.dump();
@@ -74,7 +77,9 @@
         body_.clear();
         waiting_ = true, asked_ = roster_.loop_.now();
         stream_->write(fmt::format("POST /v3/discovery:endpoints HTTP/1.1\r\nHost: {}\r\nContent-Type: "
-                                   "application/json\r\nContent-Length: {}\r\n\r\n", endpoint_.text(), text.size()) + text);
+                                   "application/json\r\nContent-Length: {}\r\n\r\n",
+                                   endpoint_.text(), text.size()) +
+                       text);
     }
     void answered() {
         waiting_ = false;
@@ -129,7 +134,8 @@
     last_text_ = text;
     HostList list;
     std::vector<openapi::Problem> problems;
-    if (!parse_endpoints(text, source, config_.hosts().cluster(), list, problems)) return hooks_.bad(problems);
+    if (!parse_endpoints(text, source, config_.hosts().cluster(), list, problems))
+        return hooks_.bad(problems);
     version_ = list.version;
     std::vector<HostEntry> entries;
     const std::int64_t wall = unix_ms();
--- a/src/roster/roster.h
+++ b/src/roster/roster.h
@@ -15,9 +15,9 @@
 class Roster {
   public:
     struct Hooks {
-        std::function<void(std::vector<HostEntry>)> changed;                   // the whole list, where it changed
-        std::function<void(const std::vector<openapi::Problem>&)> bad;         // a list that cannot be used
-        std::function<void(const std::string&)> unreachable;                   // told once, until it answers again
+        std::function<void(std::vector<HostEntry>)> changed;            // the whole list, where it changed
+        std::function<void(const std::vector<openapi::Problem>&)> bad;  // a list that cannot be used
+        std::function<void(const std::string&)> unreachable;            // told once, until it answers again
     };
     // `folder` is what a relative file name starts from.
     Roster(event::Loop& loop, const config::Config& config, const std::string& folder, Hooks hooks);
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -14,16 +14,19 @@
 struct Upstream::Pool {
     std::string host;
     std::optional<config::Endpoint> endpoint;
-    std::vector<std::unique_ptr<Connection>> idle;   // the latest used last
+    std::vector<std::unique_ptr<Connection>> idle;  // the latest used last
     std::vector<std::unique_ptr<Connection>> in_use;
     bool listed = true;
 };
 
-// One connection; it carries one attempt or probe at a time and goes back to its pool when the answer is whole.
+// One connection; it carries one attempt or probe at a time and goes back to its pool when the answer is
+// whole.
 class Upstream::Connection : public event::StreamOwner, public http::Parser::Events {
   public:
     Connection(Upstream& up, Pool& pool, event::Fd fd)
-        : pool_(pool), up_(up), stream_(up.loop_, std::move(fd), *this, true),
+        : pool_(pool),
+          up_(up),
+          stream_(up.loop_, std::move(fd), *this, true),
           parser_(http::Parser::Kind::response, *this) {}
 
     void begin(const core::AttemptKey& key, std::shared_ptr<const OutRequest> request) {
@@ -35,11 +38,12 @@
         parser_.next();
         parser_.answer_to_head(request_->head_method);
         if (connected_) write_out();
-        else up_.loop_.after(std::chrono::milliseconds(up_.config_.hosts().connect_ms()),
-                             [this, turn = turn_, alive = std::weak_ptr<bool>(alive_)] {
-                                 if (!alive.expired() && turn_ == turn && !connected_ && busy())
-                                     give_up(Outcome::connect_failed);
-                             });
+        else
+            up_.loop_.after(std::chrono::milliseconds(up_.config_.hosts().connect_ms()),
+                            [this, turn = turn_, alive = std::weak_ptr<bool>(alive_)] {
+                                if (!alive.expired() && turn_ == turn && !connected_ && busy())
+                                    give_up(Outcome::connect_failed);
+                            });
         if (probing())
             up_.loop_.after(std::chrono::milliseconds(up_.config_.hosts().probe_ms()),
                             [this, turn = turn_, alive = std::weak_ptr<bool>(alive_)] {
@@ -82,7 +86,8 @@
     bool on_head(http::Head& head) override {
         const Micros took = up_.loop_.now() - begun_;
         LoadReport report;
-        if (const std::string* field = http::find(head.fields, "endpoint-load-metrics")) report = read_report(*field);
+        if (const std::string* field = http::find(head.fields, "endpoint-load-metrics"))
+            report = read_report(*field);
         if (!head.keep_alive) unusable_ = true;
         const Outcome outcome = outcome_of(head, up_.config_.host_answers());
         answering_ = true;
@@ -114,12 +119,14 @@
 
   private:
     void write_out() {
-        const std::string last = probing() ? "\r\n" : fmt::format("Silverreach-Attempt: {}\r\n\r\n", key_.attempt);
+        const std::string last =
+            probing() ? "\r\n" : fmt::format("Silverreach-Attempt: {}\r\n\r\n", key_.attempt);
         stream_.write({request_->head, last, request_->body});
     }
     void answer_whole(bool more_bytes) {
         const bool wanted = std::exchange(wanted_, false);
-        // A request that is still being written has been answered early: its rest would be read as the next one.
+        // A request that is still being written has been answered early: its rest would be read as the next
+        // one.
         const bool reusable = !unusable_ && !more_bytes && stream_.queued() == 0 && !stream_.closed();
         const core::AttemptKey key = key_;
         auto trailers = std::move(trailers_);
@@ -150,7 +157,8 @@
     void drop() {
         stream_.close();
         auto& idle = pool_.idle;
-        const auto it = std::find_if(idle.begin(), idle.end(), [&](const auto& c) { return c.get() == this; });
+        const auto it =
+            std::find_if(idle.begin(), idle.end(), [&](const auto& c) { return c.get() == this; });
         if (it == idle.end()) return;
         auto owned = std::move(*it);
         idle.erase(it);
@@ -166,8 +174,7 @@
     Micros begun_{0};
     http::Fields trailers_;
     std::uint64_t turn_ = 0;  // of use: what belongs to an earlier one is passed over
-    bool connected_ = false, wanted_ = false, answering_ = false,
-         unusable_ = false;
+    bool connected_ = false, wanted_ = false, answering_ = false, unusable_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
@@ -279,9 +286,8 @@
     const Micros most = std::chrono::milliseconds(config_.hosts().idle_ms());
     for (auto& [name, pool] : pools_) {
         auto& idle = pool->idle;  // the longest idle first
-        const auto fresh = std::find_if(idle.begin(), idle.end(), [&](const auto& c) {
-            return loop_.now() - c->idle_since < most;
-        });
+        const auto fresh = std::find_if(idle.begin(), idle.end(),
+                                        [&](const auto& c) { return loop_.now() - c->idle_since < most; });
         idle.erase(idle.begin(), fresh);
     }
     std::erase_if(pools_, [](const auto& p) {
@@ -294,7 +300,8 @@
 
 Upstream::Stats Upstream::stats() const {
     Stats s{0, 0, opened_, reused_};
-    for (const auto& [name, pool] : pools_) s.open += pool->idle.size() + pool->in_use.size(), s.idle += pool->idle.size();
+    for (const auto& [name, pool] : pools_)
+        s.open += pool->idle.size() + pool->in_use.size(), s.idle += pool->idle.size();
     return s;
 }
 
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -1,5 +1,5 @@
-// Connections to hosts: a pool each, one attempt at a time on a connection. Which host, when and how often is not
-// decided here.
+// Connections to hosts: a pool each, one attempt at a time on a connection. Which host, when and how often is
+// not decided here.
 #pragma once
 
 #include <map>
@@ -15,8 +15,8 @@
 
 namespace silverreach::upstream {
 
-// A request as it goes to hosts, the same for all attempts: its head without the last empty line, and its body. The
-// field Silverreach-Attempt and the empty line are added for each.
+// A request as it goes to hosts, the same for all attempts: its head without the last empty line, and its
+// body. The field Silverreach-Attempt and the empty line are added for each.
 struct OutRequest {
     std::string head;
     std::string body;
@@ -33,8 +33,8 @@
                                const LoadReport& report, http::Head& head) = 0;
     virtual void answer_body(const core::AttemptKey& key, std::string_view bytes) = 0;
     virtual void answer_ended(const core::AttemptKey& key, bool whole, const http::Fields& trailers) = 0;
-    virtual void attempt_ended(const core::AttemptKey& key, const std::string& host, Outcome outcome, Micros took,
-                               const LoadReport& report, int status) = 0;
+    virtual void attempt_ended(const core::AttemptKey& key, const std::string& host, Outcome outcome,
+                               Micros took, const LoadReport& report, int status) = 0;
     virtual void probe_ended(ProbeEnded ended) = 0;
 };
 
@@ -48,11 +48,13 @@
     Upstream(event::Loop& loop, const config::Config& config, Events& events);
     ~Upstream();
 
-    void send(const core::AttemptKey& key, const std::string& host, std::shared_ptr<const OutRequest> request);
+    void send(const core::AttemptKey& key, const std::string& host,
+              std::shared_ptr<const OutRequest> request);
     void cancel(const core::AttemptKey& key);  // closes the attempt's connection; nothing more is told of it
     void read(const core::AttemptKey& key, bool on);  // back pressure
     void probe(const std::string& host);
-    // Idle connections to hosts that are not listed any more are closed; those in use end with their attempts.
+    // Idle connections to hosts that are not listed any more are closed; those in use end with their
+    // attempts.
     void keep_only(const std::vector<HostEntry>& hosts);
 
     struct Stats {
@@ -76,7 +78,9 @@
     Events& events_;
     std::map<std::string, std::unique_ptr<Pool>> pools_;
     struct KeyHash {
-        std::size_t operator()(const core::AttemptKey& k) const { return k.request * 8 + static_cast<std::size_t>(k.attempt); }
+        std::size_t operator()(const core::AttemptKey& k) const {
+            return k.request * 8 + static_cast<std::size_t>(k.attempt);
+        }
     };
     std::unordered_map<core::AttemptKey, Connection*, KeyHash> by_key_;
     std::vector<std::unique_ptr<Connection>> gone_;
--- a/standins/client.cpp
+++ b/standins/client.cpp
@@ -11,7 +11,10 @@
 
 struct Clients::Connection : event::StreamOwner, http::Parser::Events {
     Connection(Clients& c, int g, int p, event::Fd fd)
-        : clients(c), gateway(g), port(p), stream(c.loop_, std::move(fd), *this, true),
+        : clients(c),
+          gateway(g),
+          port(p),
+          stream(c.loop_, std::move(fd), *this, true),
           parser(http::Parser::Kind::response, *this) {}
 
     void begin(Try t, const std::string& bytes) {
@@ -42,7 +45,8 @@
     void on_broken(int) override { busy ? end("broken", false) : end("", false); }
     bool on_head(http::Head& h) override {
         head_seen = true, status = h.status, keep = h.keep_alive;
-        if (const auto* ms = http::find(h.fields, "Retry-After-Ms")) retry_after = std::chrono::milliseconds(std::atoll(ms->c_str()));
+        if (const auto* ms = http::find(h.fields, "Retry-After-Ms"))
+            retry_after = std::chrono::milliseconds(std::atoll(ms->c_str()));
         return true;
     }
     void on_body(std::string_view bytes) override {
@@ -92,7 +96,8 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
-Clients::Clients(event::Loop& loop, std::uint64_t seed, Recorder& records, std::function<std::vector<int>()> gateways)
+Clients::Clients(event::Loop& loop, std::uint64_t seed, Recorder& records,
+                 std::function<std::vector<int>()> gateways)
     : loop_(loop), random_(seed), records_(records), gateways_(std::move(gateways)), begin_(loop.now()) {}
 Clients::~Clients() { alive_.reset(); }
 
@@ -140,8 +145,15 @@
     const auto gateway = static_cast<int>(random_() % ports.size());
     const Flow& f = t.flow;
     records_.add(loop_.now(), "client", "sent",
-                 {{"id", t.id}, {"op", t.op}, {"gateway", gateway}, {"account", f.account}, {"units", f.units},
-                  {"effect", f.effect}, {"method", f.method}, {"target", f.target}, {"retry", t.retry},
+                 {{"id", t.id},
+                  {"op", t.op},
+                  {"gateway", gateway},
+                  {"account", f.account},
+                  {"units", f.units},
+                  {"effect", f.effect},
+                  {"method", f.method},
+                  {"target", f.target},
+                  {"retry", t.retry},
                   {"deadline_us", f.deadline.count()}});
     ++waiting_;
     const int port = ports[static_cast<std::size_t>(gateway)];
@@ -150,12 +162,16 @@
         records_.add(loop_.now(), "client", "unreached", {{"id", t.id}, {"gateway", gateway}});
         return ended(t, 0, Micros(0), false);
     }
-    std::string bytes = fmt::format("{} {} HTTP/1.1\r\nHost: birds\r\n{}: {}\r\nX-Request-Id: {}\r\nX-Op: {}\r\nX-Effect: {}\r\nX-Units: {:g}\r\n"
-                                    "X-Deadline-Ms: {}\r\n", f.method, f.target, f.key_header, f.key, t.id, t.op, f.effect, f.units,
-                                    f.deadline.count() / 1000);
+    std::string bytes = fmt::format(
+        "{} {} HTTP/1.1\r\nHost: birds\r\n{}: {}\r\nX-Request-Id: {}\r\nX-Op: {}\r\nX-Effect: {}\r\nX-Units: "
+        "{:g}\r\n"
+        "X-Deadline-Ms: {}\r\n",
+        f.method, f.target, f.key_header, f.key, t.id, t.op, f.effect, f.units, f.deadline.count() / 1000);
     if (f.effect == "keyed") bytes += "Idempotency-Key: " + t.op + "\r\n";
     if (f.method != "GET" && f.method != "HEAD") bytes += fmt::format("Content-Length: {}\r\n", f.body);
-    bytes += "\r\n" + (f.method == "GET" || f.method == "HEAD" ? std::string() : std::string(static_cast<std::size_t>(f.body), 'x'));
+    bytes += "\r\n" + (f.method == "GET" || f.method == "HEAD"
+                           ? std::string()
+                           : std::string(static_cast<std::size_t>(f.body), 'x'));
     c->begin(std::move(t), bytes);
 }
 
@@ -175,7 +191,8 @@
 
 void Clients::over(Connection& c, bool reuse) {
     for (auto* list : {&in_use_, &idle_[c.port]}) {
-        const auto it = std::find_if(list->begin(), list->end(), [&](const auto& x) { return x.get() == &c; });
+        const auto it =
+            std::find_if(list->begin(), list->end(), [&](const auto& x) { return x.get() == &c; });
         if (it == list->end()) continue;
         auto owned = std::move(*it);
         list->erase(it);
--- a/standins/client.h
+++ b/standins/client.h
@@ -1,5 +1,5 @@
-// Clients of the gateways on loopback: they send at a stated rate, give up at their deadline, and try again as the
-// answers allow.
+// Clients of the gateways on loopback: they send at a stated rate, give up at their deadline, and try again
+// as the answers allow.
 #pragma once
 
 #include <functional>
@@ -17,19 +17,21 @@
 
 struct Flow {  // of one account's requests to one route
     std::string account, key, method = "GET", target = "/", effect = "safe", key_header = "X-Api-Key";
-    double rate = 1;         // requests a second
+    double rate = 1;  // requests a second
     double units = 1;
     Micros deadline{0};
-    int body = 0;            // bytes
-    int retries = 0;         // tries again after a refusal, at most
-    double burst_rate = 0;   // instead of `rate` between burst_from and burst_until
+    int body = 0;           // bytes
+    int retries = 0;        // tries again after a refusal, at most
+    double burst_rate = 0;  // instead of `rate` between burst_from and burst_until
     Micros burst_from{0}, burst_until{0};
 };
 
 class Clients {
   public:
-    // `gateways` gives the ports that can be reached now; a port below 1 is one that clients still try in vain.
-    Clients(event::Loop& loop, std::uint64_t seed, Recorder& records, std::function<std::vector<int>()> gateways);
+    // `gateways` gives the ports that can be reached now; a port below 1 is one that clients still try in
+    // vain.
+    Clients(event::Loop& loop, std::uint64_t seed, Recorder& records,
+            std::function<std::vector<int>()> gateways);
     ~Clients();
     void run(const Flow& flow, Micros until);
     std::size_t waiting() const { return waiting_; }
--- a/standins/host.cpp
+++ b/standins/host.cpp
@@ -25,7 +25,11 @@
 
 Host::Host(event::Loop& loop, const HostSettings& settings, std::uint64_t seed, Recorder& records,
            std::shared_ptr<Group> group, std::function<std::string(const std::string&)> plan_of)
-    : loop_(loop), s_(settings), random_(seed), records_(records), group_(std::move(group)),
+    : loop_(loop),
+      s_(settings),
+      random_(seed),
+      records_(records),
+      group_(std::move(group)),
       plan_of_(std::move(plan_of)) {
     start(false);
 }
@@ -34,9 +38,9 @@
 void Host::start(bool cold) {
     if (server_) return;
     ++life_;
-    server_ = std::make_unique<Server>(loop_, s_.ip, s_.port, [this](Server::Token t, const http::Head& h, const std::string& b) {
-        handle(t, h, b);
-    });
+    server_ = std::make_unique<Server>(
+        loop_, s_.ip, s_.port,
+        [this](Server::Token t, const http::Head& h, const std::string& b) { handle(t, h, b); });
     s_.port = server_->port();
     const bool v6 = s_.ip.find(':') != std::string::npos;
     address_ = fmt::format("{}{}{}:{}", v6 ? "[" : "", s_.ip, v6 ? "]" : "", s_.port);
@@ -46,7 +50,10 @@
     started_unix_ms_ = cold ? unix_ms_now() : 0;
     stalled_ = false;
     records_.add(loop_.now(), "host", "started",
-                 {{"host", address_}, {"cold", cold}, {"full_capacity", tally.cores * tally.speed}, {"zone", s_.zone}});
+                 {{"host", address_},
+                  {"cold", cold},
+                  {"full_capacity", tally.cores * tally.speed},
+                  {"zone", s_.zone}});
 }
 void Host::kill() {
     if (!server_) return;
@@ -68,14 +75,18 @@
 void Host::cut_answers(bool on) { cut_ = on; }
 
 std::string Host::report() {
-    return fmt::format("endpoint-load-metrics: TEXT cpu_utilization={:.3f},named_metrics.queue={},named_metrics.inflight={}\r\n",
-                       static_cast<double>(tally_->running()) / s_.tally.cores, tally_->waiting(),
-                       tally_->waiting() + tally_->running());
+    return fmt::format(
+        "endpoint-load-metrics: TEXT "
+        "cpu_utilization={:.3f},named_metrics.queue={},named_metrics.inflight={}\r\n",
+        static_cast<double>(tally_->running()) / s_.tally.cores, tally_->waiting(),
+        tally_->waiting() + tally_->running());
 }
 
-void Host::answer(Server::Token token, int status, const std::string& fields, const std::string& body, bool to_head) {
-    std::string out = fmt::format("HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n{}{}\r\n", status,
-                                  http::reason_phrase(status), body.size(), report(), fields);
+void Host::answer(Server::Token token, int status, const std::string& fields, const std::string& body,
+                  bool to_head) {
+    std::string out =
+        fmt::format("HTTP/1.1 {} {}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n{}{}\r\n", status,
+                    http::reason_phrase(status), body.size(), report(), fields);
     if (!to_head) out += cut_ ? body.substr(0, body.size() / 2) : body;
     server_->answer(token, out, cut_);
 }
@@ -83,17 +94,28 @@
 void Host::handle(Server::Token token, const http::Head& head, const std::string& body) {
     if (head.target == "/load") return answer(token, 200, "", "", false);
     const Micros now = loop_.now();
-    Job job{token, field_or(head, "X-Request-Id"), field_or(head, "Idempotency-Key"), field_or(head, "X-Op"),
-            field_or(head, "X-Effect"), head.method == "HEAD"};
+    Job job{token,
+            field_or(head, "X-Request-Id"),
+            field_or(head, "Idempotency-Key"),
+            field_or(head, "X-Op"),
+            field_or(head, "X-Effect"),
+            head.method == "HEAD"};
     const std::string units_text = field_or(head, s_.units_header);
     const double units = units_text.empty() ? 1 : std::atof(units_text.c_str());
     std::exponential_distribution<double> spread(1);
     const double scale = 0.5 + 0.5 * std::min(spread(random_), 4.0);
     const Micros work(static_cast<std::int64_t>(static_cast<double>(s_.mean_work.count()) * units * scale));
     const std::string key = field_or(head, s_.key_header);
-    nlohmann::json fields = {{"host", address_}, {"id", job.id}, {"op", job.op}, {"gateway", gateway_of(field_or(head, "Via"))},
-                             {"attempt", std::atoi(field_or(head, "Silverreach-Attempt").c_str())}, {"method", head.method},
-                             {"target", head.target}, {"units", units}, {"work_us", work.count()}, {"bytes", body.size()}};
+    nlohmann::json fields = {{"host", address_},
+                             {"id", job.id},
+                             {"op", job.op},
+                             {"gateway", gateway_of(field_or(head, "Via"))},
+                             {"attempt", std::atoi(field_or(head, "Silverreach-Attempt").c_str())},
+                             {"method", head.method},
+                             {"target", head.target},
+                             {"units", units},
+                             {"work_us", work.count()},
+                             {"bytes", body.size()}};
     const bool refused = !refused_plan_.empty() && plan_of_(key) == refused_plan_;
     const std::uint64_t number = next_job_++;
     const bool taken = !refused && tally_->arrive(now, number, work);
@@ -130,9 +152,10 @@
 }
 void Host::arm() {
     if (const auto next = tally_->next())
-        loop_.after(std::max(*next - loop_.now(), Micros(0)), [this, life = life_, alive = std::weak_ptr<bool>(alive_)] {
-            if (!alive.expired() && life == life_) advance();
-        });
+        loop_.after(std::max(*next - loop_.now(), Micros(0)),
+                    [this, life = life_, alive = std::weak_ptr<bool>(alive_)] {
+                        if (!alive.expired() && life == life_) advance();
+                    });
 }
 
 }  // namespace silverreach::standins
--- a/standins/host.h
+++ b/standins/host.h
@@ -33,7 +33,8 @@
 
 class Host {
   public:
-    // `plan_of` tells the plan of an account's key, for refusals of one plan. All references must outlive the host.
+    // `plan_of` tells the plan of an account's key, for refusals of one plan. All references must outlive the
+    // host.
     Host(event::Loop& loop, const HostSettings& settings, std::uint64_t seed, Recorder& records,
          std::shared_ptr<Group> group, std::function<std::string(const std::string&)> plan_of);
     ~Host();
@@ -43,11 +44,11 @@
     bool running() const { return server_ != nullptr; }
     std::int64_t started_unix_ms() const { return started_unix_ms_; }
 
-    void kill();                                    // as the process would die: connections break
-    void start(bool cold);                          // on the same address
-    void stall(bool on);                            // reads on, so that records hold the time of sending, but answers nothing
-    void refuse_plan(const std::string& plan);      // turns that plan away as full; empty: nobody
-    void cut_answers(bool on);                      // ends its answers in the middle
+    void kill();            // as the process would die: connections break
+    void start(bool cold);  // on the same address
+    void stall(bool on);    // reads on, so that records hold the time of sending, but answers nothing
+    void refuse_plan(const std::string& plan);  // turns that plan away as full; empty: nobody
+    void cut_answers(bool on);                  // ends its answers in the middle
 
   private:
     struct Job {
@@ -58,7 +59,8 @@
     void handle(Server::Token token, const http::Head& head, const std::string& body);
     void advance();
     void arm();
-    void answer(Server::Token token, int status, const std::string& fields, const std::string& body, bool to_head);
+    void answer(Server::Token token, int status, const std::string& fields, const std::string& body,
+                bool to_head);
     std::string report();
 
     event::Loop& loop_;
--- a/standins/record.cpp
+++ b/standins/record.cpp
@@ -9,7 +9,8 @@
 }
 void Recorder::add(Micros at, const char* who, const char* what, nlohmann::json fields) {
     fields["t"] = at.count(), fields["who"] = who, fields["what"] = what;
-    if (file_.is_open()) file_ << fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
+    if (file_.is_open())
+        file_ << fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) << "\n";
     all_.push_back(std::move(fields));
 }
 
--- a/standins/record.h
+++ b/standins/record.h
@@ -13,8 +13,8 @@
 
 class Recorder {
   public:
-    Recorder() = default;                         // in memory only
-    explicit Recorder(const std::string& file);   // and to the file, line by line
+    Recorder() = default;                        // in memory only
+    explicit Recorder(const std::string& file);  // and to the file, line by line
     void add(Micros at, const char* who, const char* what, nlohmann::json fields);
     const std::vector<nlohmann::json>& all() const { return all_; }
 
--- a/standins/relay.cpp
+++ b/standins/relay.cpp
@@ -36,7 +36,8 @@
                 throw std::runtime_error("relay: no socket");
             getsockname(leg->fd.get(), reinterpret_cast<sockaddr*>(&at), &size);
             leg->port = ntohs(at.sin_port);
-            leg->io = std::make_unique<event::Io>(loop, leg->fd.get(), [this, from, to](int) { receive(from, to); });
+            leg->io = std::make_unique<event::Io>(loop, leg->fd.get(),
+                                                  [this, from, to](int) { receive(from, to); });
             leg->io->want(event::readable);
             legs_[static_cast<std::size_t>(from)].push_back(std::move(leg));
         }
@@ -44,7 +45,8 @@
 Relay::~Relay() { alive_.reset(); }
 
 std::string Relay::address(int from, int to) const {
-    return "127.0.0.1:" + std::to_string(legs_[static_cast<std::size_t>(from)][static_cast<std::size_t>(to)]->port);
+    return "127.0.0.1:" +
+           std::to_string(legs_[static_cast<std::size_t>(from)][static_cast<std::size_t>(to)]->port);
 }
 void Relay::set(double loss, std::chrono::microseconds least, std::chrono::microseconds most) {
     loss_ = loss, least_ = least, most_ = std::max(least, most);
@@ -54,7 +56,9 @@
 void Relay::receive(int from, int to) {
     char buffer[2048];
     while (true) {
-        const ssize_t n = ::recv(legs_[static_cast<std::size_t>(from)][static_cast<std::size_t>(to)]->fd.get(), buffer, sizeof buffer, 0);
+        const ssize_t n =
+            ::recv(legs_[static_cast<std::size_t>(from)][static_cast<std::size_t>(to)]->fd.get(), buffer,
+                   sizeof buffer, 0);
         if (n < 0) return;
         const double draw = static_cast<double>(random_() >> 11) * 0x1p-53;
         if (draw < loss_ || cut_.count(from) || cut_.count(to)) {
@@ -64,13 +68,15 @@
         const auto span = static_cast<std::uint64_t>((most_ - least_).count()) + 1;
         const std::chrono::microseconds delay = least_ + std::chrono::microseconds(random_() % span);
         ++carried_;
-        loop_.after(delay, [this, from, to, bytes = std::string(buffer, static_cast<std::size_t>(n)), alive = std::weak_ptr<bool>(alive_)] {
+        loop_.after(delay, [this, from, to, bytes = std::string(buffer, static_cast<std::size_t>(n)),
+                            alive = std::weak_ptr<bool>(alive_)] {
             if (alive.expired()) return;
             // From the socket at which `to` knows `from`.
             const auto& [ip, port] = own_[static_cast<std::size_t>(to)];
             const sockaddr_in at = address_of(ip, port);
-            ::sendto(legs_[static_cast<std::size_t>(to)][static_cast<std::size_t>(from)]->fd.get(), bytes.data(), bytes.size(),
-                     MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&at), sizeof at);
+            ::sendto(legs_[static_cast<std::size_t>(to)][static_cast<std::size_t>(from)]->fd.get(),
+                     bytes.data(), bytes.size(), MSG_NOSIGNAL, reinterpret_cast<const sockaddr*>(&at),
+                     sizeof at);
         });
     }
 }
--- a/standins/relay.h
+++ b/standins/relay.h
@@ -1,5 +1,5 @@
-// Carries datagrams between gateways, and loses, delays and cuts as told. Each ordered pair has a socket of its own,
-// so that every gateway sees each peer at one stable address.
+// Carries datagrams between gateways, and loses, delays and cuts as told. Each ordered pair has a socket of
+// its own, so that every gateway sees each peer at one stable address.
 #pragma once
 
 #include <memory>
--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -4,8 +4,10 @@
 
 struct Server::Connection : event::StreamOwner, http::Parser::Events {
     Connection(Server& s, Token t, event::Fd fd)
-        : server(s), token(t), stream(s.loop_, std::move(fd), *this), parser(http::Parser::Kind::request, *this) {
-    }
+        : server(s),
+          token(t),
+          stream(s.loop_, std::move(fd), *this),
+          parser(http::Parser::Kind::request, *this) {}
     void on_data(std::string_view bytes) override {
         pending.append(bytes);
         next();
--- a/standins/tally.cpp
+++ b/standins/tally.cpp
@@ -48,15 +48,16 @@
 
 std::optional<Micros> Tally::next() const {
     if (running_.empty()) return std::nullopt;
-    return std::min_element(running_.begin(), running_.end(), [](const Running& a, const Running& b) {
-               return a.until < b.until;
-           })->until;
+    return std::min_element(running_.begin(), running_.end(),
+                            [](const Running& a, const Running& b) { return a.until < b.until; })
+        ->until;
 }
 
 std::vector<Tally::Done> Tally::advance(Micros now) {
     std::vector<Done> done;
     for (auto at = next(); at && *at <= now; at = next()) {
-        const auto it = std::find_if(running_.begin(), running_.end(), [&](const Running& r) { return r.until == *at; });
+        const auto it =
+            std::find_if(running_.begin(), running_.end(), [&](const Running& r) { return r.until == *at; });
         done.push_back({it->id, it->until});
         running_.erase(it);
         start(*at);
--- a/standins/tally.h
+++ b/standins/tally.h
@@ -1,5 +1,5 @@
-// A model of a tally host: cores that work, a waiting room, a cold start, and falling over. No I/O; the same model
-// serves the host stand-in and its tests.
+// A model of a tally host: cores that work, a waiting room, a cold start, and falling over. No I/O; the same
+// model serves the host stand-in and its tests.
 #pragma once
 
 #include <chrono>
@@ -14,11 +14,11 @@
 
 struct TallySettings {
     int cores = 3;
-    double speed = 1;            // of a core; work takes its time divided by this
-    std::size_t room = 64;       // jobs that may wait; more are turned away
-    Micros cold{0};              // until warm; 0: always warm
-    double start_capacity = 1;   // share of the capacity at the start
-    double fall_multiple = 0;    // 0: never falls over
+    double speed = 1;           // of a core; work takes its time divided by this
+    std::size_t room = 64;      // jobs that may wait; more are turned away
+    Micros cold{0};             // until warm; 0: always warm
+    double start_capacity = 1;  // share of the capacity at the start
+    double fall_multiple = 0;   // 0: never falls over
     Micros fall_time{0};
 };
 
--- a/tests/config/config_test.cpp
+++ b/tests/config/config_test.cpp
@@ -92,6 +92,7 @@
 TEST(Config, EndpointsAreAddressesWithPorts) {
     EXPECT_EQ(parse_endpoint("[::1]:80")->text(), "[::1]:80");
     EXPECT_EQ(parse_endpoint("127.0.0.1:0")->port, 0);
-    for (const char* bad : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536", "127.0.0.1:-1", "::1:80", "[::1]", "h:80", "1.2.3:4", "1.2.3.4:8x"})
+    for (const char* bad : {"", "127.0.0.1", "127.0.0.1:", "127.0.0.1:65536", "127.0.0.1:-1", "::1:80",
+                            "[::1]", "h:80", "1.2.3:4", "1.2.3.4:8x"})
         EXPECT_FALSE(parse_endpoint(bad)) << bad;
 }
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -109,7 +109,9 @@
         w.pass(999ms);
         ASSERT_EQ(w.finals.size(), 1u) << static_cast<int>(effect);
         EXPECT_EQ(w.finals[0].second.refused, effect == Effect::safe);
-        if (effect != Effect::safe) { EXPECT_EQ(w.finals[0].second.fail_reason, FailReason::no_time); }
+        if (effect != Effect::safe) {
+            EXPECT_EQ(w.finals[0].second.fail_reason, FailReason::no_time);
+        }
         w.pass(2s);
         EXPECT_EQ(w.finals.size(), 1u);
         EXPECT_EQ(w.core->held(), 0u) << "attempts end as timed out";
--- a/tests/drill/judge_test.cpp
+++ b/tests/drill/judge_test.cpp
@@ -22,23 +22,38 @@
     if (more.is_object()) r.update(more);
     return r;
 }
-json sent(long t, const std::string& id, const std::string& effect = "safe", const std::string& account = "coast") {
-    return client(t, "sent", id, {{"account", account}, {"effect", effect}, {"units", 1}, {"deadline_us", 1'000'000}, {"op", "op-" + id}});
+json sent(long t, const std::string& id, const std::string& effect = "safe",
+          const std::string& account = "coast") {
+    return client(t, "sent", id,
+                  {{"account", account},
+                   {"effect", effect},
+                   {"units", 1},
+                   {"deadline_us", 1'000'000},
+                   {"op", "op-" + id}});
 }
 json answer(long t, const std::string& id, const std::string& reason = "", int status = 200) {
     return client(t, "answer", id, {{"status", status}, {"reason", reason}, {"head_seen", true}});
 }
 json host(long t, const char* what, const std::string& id, json more = {}) {
-    json r = {{"t", t}, {"who", "host"}, {"what", what}, {"id", id}, {"op", "op-" + id}, {"host", "h1"}, {"gateway", 0},
-              {"attempt", 0}, {"units", 1.0}, {"work_us", 10'000}, {"taken", true}};
+    json r = {{"t", t},           {"who", "host"},     {"what", what}, {"id", id},
+              {"op", "op-" + id}, {"host", "h1"},      {"gateway", 0}, {"attempt", 0},
+              {"units", 1.0},     {"work_us", 10'000}, {"taken", true}};
     if (more.is_object()) r.update(more);
     return r;
 }
-json told(long t, json hosts) { return {{"t", t}, {"who", "roster"}, {"what", "told"}, {"gateway", 0}, {"hosts", hosts}}; }
+json told(long t, json hosts) {
+    return {{"t", t}, {"who", "roster"}, {"what", "told"}, {"gateway", 0}, {"hosts", hosts}};
+}
 std::vector<json> good() {
-    return {told(0, {{"h1", "HEALTHY"}}), sent(1000, "a"), host(2000, "received", "a"), host(9000, "ran", "a", {{"effect", "safe"}}),
-            answer(10'000, "a"), sent(20'000, "u", "unsafe"), host(21'000, "received", "u"),
-            host(30'000, "ran", "u", {{"effect", "unsafe"}}), answer(31'000, "u")};
+    return {told(0, {{"h1", "HEALTHY"}}),
+            sent(1000, "a"),
+            host(2000, "received", "a"),
+            host(9000, "ran", "a", {{"effect", "safe"}}),
+            answer(10'000, "a"),
+            sent(20'000, "u", "unsafe"),
+            host(21'000, "received", "u"),
+            host(30'000, "ran", "u", {{"effect", "unsafe"}}),
+            answer(31'000, "u")};
 }
 // The good record with more in it breaks exactly this rule.
 void breaks(Rule rule, std::vector<json> more) {
@@ -53,7 +68,8 @@
 TEST(Judge, AGoodRecordIsKeptAndWasLookedAt) {
     const Verdict v = judge(good(), terms());
     EXPECT_TRUE(v.kept()) << text_of(v);
-    for (const Rule r : {Rule::one_answer, Rule::no_effect_twice, Rule::drains_kept, Rule::ceilings_kept, Rule::counted_once})
+    for (const Rule r : {Rule::one_answer, Rule::no_effect_twice, Rule::drains_kept, Rule::ceilings_kept,
+                         Rule::counted_once})
         EXPECT_GT(v.looked_at.at(r), 0u) << to_string(r);
 }
 
@@ -79,24 +95,32 @@
 
 TEST(Judge, NoEffectTwice) {
     breaks(Rule::no_effect_twice, {host(40'000, "ran", "u", {{"effect", "unsafe"}})});
-    breaks(Rule::no_effect_twice, {sent(50'000, "k", "keyed"), host(51'000, "ran", "k", {{"effect", "keyed"}}),
-                                   host(52'000, "ran", "k", {{"effect", "keyed"}, {"host", "h2"}}), answer(60'000, "k")});
-    breaks(Rule::no_effect_twice, {sent(50'000, "r", "unsafe"), host(51'000, "received", "r"), answer(60'000, "r", "no-answer", 504)});
-    EXPECT_TRUE(judge({sent(0, "f", "unsafe"), host(1, "received", "f", {{"taken", false}}), answer(2, "f", "no-host", 503)}, terms()).kept());
+    breaks(Rule::no_effect_twice,
+           {sent(50'000, "k", "keyed"), host(51'000, "ran", "k", {{"effect", "keyed"}}),
+            host(52'000, "ran", "k", {{"effect", "keyed"}, {"host", "h2"}}), answer(60'000, "k")});
+    breaks(Rule::no_effect_twice, {sent(50'000, "r", "unsafe"), host(51'000, "received", "r"),
+                                   answer(60'000, "r", "no-answer", 504)});
+    EXPECT_TRUE(judge({sent(0, "f", "unsafe"), host(1, "received", "f", {{"taken", false}}),
+                       answer(2, "f", "no-host", 503)},
+                      terms())
+                    .kept());
 }
 
 TEST(Judge, DrainsKept) {
     const json drain = told(100'000, {{"h1", "DRAINING"}}), gone = told(100'000, json::object());
     for (const json& word : {drain, gone}) {
-        breaks(Rule::drains_kept, {word, sent(400'000, "b"), host(400'100, "received", "b"), answer(410'000, "b")});
+        breaks(Rule::drains_kept,
+               {word, sent(400'000, "b"), host(400'100, "received", "b"), answer(410'000, "b")});
         std::vector<json> all = good();
-        for (const json& r : {word, sent(300'000, "b"), host(300'100, "received", "b"), answer(310'000, "b")}) all.push_back(r);
+        for (const json& r : {word, sent(300'000, "b"), host(300'100, "received", "b"), answer(310'000, "b")})
+            all.push_back(r);
         EXPECT_TRUE(judge(all, terms()).kept()) << "within the grace";
     }
 }
 
 TEST(Judge, NoColdHostPushedOver) {
-    std::vector<json> more = {host(40'000, "started", "", {{"cold", true}, {"full_capacity", 1.0}, {"host", "h2"}})};
+    std::vector<json> more = {
+        host(40'000, "started", "", {{"cold", true}, {"full_capacity", 1.0}, {"host", "h2"}})};
     for (int i = 0; i < 80; ++i) {
         const std::string id = "c" + std::to_string(i);
         more.push_back(sent(50'000 + i * 1000, id, "safe", "wetlands"));
@@ -140,12 +164,16 @@
 TEST(Scenario, EveryErrorAtOnceWithItsLine) {
     Scenario s;
     std::vector<silverreach::openapi::Problem> problems;
-    EXPECT_FALSE(parse_scenario("name: x\nseconds: -1\ngateways: 2\nhosts: [{count: 1, colour: red}]\nflows: [{rate: x}]\n"
-                                "happenings:\n  - {at: 1, do: kill-gateway, gateway: 5}\n  - {at: 1, do: sing}\n", "d.yaml", s, problems));
+    EXPECT_FALSE(parse_scenario(
+        "name: x\nseconds: -1\ngateways: 2\nhosts: [{count: 1, colour: red}]\nflows: [{rate: x}]\n"
+        "happenings:\n  - {at: 1, do: kill-gateway, gateway: 5}\n  - {at: 1, do: sing}\n",
+        "d.yaml", s, problems));
     std::string all;
     for (const auto& p : problems) all += to_string(p) + "\n";
-    for (const char* words : {"d.yaml:2: scenario.seconds", "d.yaml:4: hosts[0].colour: expected a known name", "flows[0].rate", "flows[0].key",
-                              "d.yaml:7: happenings[0].gateway", "d.yaml:8: happenings[1].do: expected one of cut-answers", "scenario.config"})
+    for (const char* words :
+         {"d.yaml:2: scenario.seconds", "d.yaml:4: hosts[0].colour: expected a known name", "flows[0].rate",
+          "flows[0].key", "d.yaml:7: happenings[0].gateway",
+          "d.yaml:8: happenings[1].do: expected one of cut-answers", "scenario.config"})
         EXPECT_NE(all.find(words), std::string::npos) << words << "\n" << all;
 }
 
@@ -162,11 +190,14 @@
     ASSERT_EQ(done.size(), 2u);
     EXPECT_EQ(done[1].job, 2u);
     EXPECT_EQ(done[1].at, Micros(200)) << "the second begins when the first ends, not when it is looked at";
-    s.cold = Micros(10'000'000), s.start_capacity = 0.1, s.fall_multiple = 2, s.fall_time = Micros(1'000'000), s.room = 1000;
+    s.cold = Micros(10'000'000), s.start_capacity = 0.1, s.fall_multiple = 2, s.fall_time = Micros(1'000'000),
+    s.room = 1000;
     Tally cold(s, Micros(0));
     EXPECT_NEAR(cold.capacity(Micros(0)), 0.1, 1e-9);
     int taken = 0;
-    while (taken < 100 && cold.arrive(Micros(taken * 1000), static_cast<std::uint64_t>(taken), Micros(10'000))) ++taken;
+    while (taken < 100 &&
+           cold.arrive(Micros(taken * 1000), static_cast<std::uint64_t>(taken), Micros(10'000)))
+        ++taken;
     EXPECT_TRUE(cold.fallen());
     EXPECT_NEAR(taken, 22, 3) << "a budget of 0.2 s of work, and two jobs for chance";
 }
--- a/tests/event/event_test.cpp
+++ b/tests/event/event_test.cpp
@@ -43,7 +43,8 @@
     std::mt19937_64 random(7);
     for (std::size_t i = 0; i < due.size(); ++i) {
         // Some beyond the ring of slots.
-        const Micros wait(i % 100 == 0 ? 4'100'000 + static_cast<std::int64_t>(random() % 300'000) : static_cast<std::int64_t>(random() % 400'000));
+        const Micros wait(i % 100 == 0 ? 4'100'000 + static_cast<std::int64_t>(random() % 300'000)
+                                       : static_cast<std::int64_t>(random() % 400'000));
         due[i] = loop.now() + wait;
         timers.start(wait, i);
     }
@@ -86,14 +87,15 @@
     } reader, writer;
     Loop loop;
     std::unique_ptr<Stream> in;
-    Listener listener(loop, "127.0.0.1", 0, false, [] { return true; }, [&](Fd fd, std::string) {
-        in = std::make_unique<Stream>(loop, std::move(fd), reader);
-    });
+    Listener listener(
+        loop, "127.0.0.1", 0, false, [] { return true; },
+        [&](Fd fd, std::string) { in = std::make_unique<Stream>(loop, std::move(fd), reader); });
     int error = 0;
     Stream out(loop, connect_to("127.0.0.1", listener.port(), false, error), writer, true);
     std::string expected;
     for (int i = 0; i < 3000; ++i) {
-        const std::string a(static_cast<std::size_t>(i), static_cast<char>('a' + i % 26)), b = std::to_string(i);
+        const std::string a(static_cast<std::size_t>(i), static_cast<char>('a' + i % 26)),
+            b = std::to_string(i);
         out.write({a, b, "|"});
         expected += a + b + "|";
     }
--- a/tests/gateway/host_test.cpp
+++ b/tests/gateway/host_test.cpp
@@ -9,7 +9,8 @@
 namespace {
 const char* const whole = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 std::string post(const std::string& path, const std::string& fields = "") {
-    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + fields + "Content-Length: 3\r\n\r\nabc";
+    return "POST " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + fields +
+           "Content-Length: 3\r\n\r\nabc";
 }
 }  // namespace
 
@@ -19,14 +20,18 @@
     TestGateway g(o);
     for (auto& h : g.hosts)
         h->respond = [&](ScriptedHost::Peer& p, const std::string&) {
-            p.stream.write(g.requests() == 1 ? "HTTP/1.1 503 x\r\nFull: 1\r\nContent-Length: 4\r\n\r\nfull" : whole);
+            p.stream.write(g.requests() == 1 ? "HTTP/1.1 503 x\r\nFull: 1\r\nContent-Length: 4\r\n\r\nfull"
+                                             : whole);
         };
     EXPECT_EQ(status(g.talk(post("/a"))), 200) << "turned away, so even an unsafe one goes on";
     EXPECT_EQ(g.requests(), 2u);
-    EXPECT_TRUE(g.hosts[0]->bytes.find("Silverreach-Attempt: 1") != std::string::npos || has(g.hosts[1]->bytes, "Silverreach-Attempt: 1"));
+    EXPECT_TRUE(g.hosts[0]->bytes.find("Silverreach-Attempt: 1") != std::string::npos ||
+                has(g.hosts[1]->bytes, "Silverreach-Attempt: 1"));
     TestGateway plain(o);
     for (auto& h : plain.hosts)
-        h->respond = [&](ScriptedHost::Peer& p, const std::string&) { p.stream.write("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n"); };
+        h->respond = [&](ScriptedHost::Peer& p, const std::string&) {
+            p.stream.write("HTTP/1.1 503 x\r\nContent-Length: 0\r\n\r\n");
+        };
     const std::string answer = plain.talk(post("/a"));
     EXPECT_EQ(status(answer), 502) << answer;
     EXPECT_TRUE(has(answer, "bad-answer"));
@@ -50,15 +55,17 @@
             EXPECT_TRUE(has(r, "X-Request-Id: same\r\n"));
         }
     TestGateway without(o);
-    for (auto& h : without.hosts) h->respond = [](ScriptedHost::Peer& p, const std::string&) { p.stream.reset(); };
+    for (auto& h : without.hosts)
+        h->respond = [](ScriptedHost::Peer& p, const std::string&) { p.stream.reset(); };
     EXPECT_EQ(status(without.talk(post("/keyed"))), 502) << "without a key it is unsafe";
     EXPECT_EQ(without.requests(), 1u);
 }
 
 TEST(Hosts, AnAnswerCutInTheMiddleNeverLooksWhole) {
-    const std::vector<std::string> starts = {"HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
-                                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
-                                             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf"};
+    const std::vector<std::string> starts = {
+        "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf"};
     for (const std::string& start : starts)
         for (const bool reset : {false, true})
             for (const std::string version : {"1.1", "1.0"}) {
@@ -96,7 +103,9 @@
 
 TEST(Hosts, BytesBeyondAnAnswerAreNoAnswerToTheNext) {
     TestGateway g;
-    g.hosts[0]->respond = [](ScriptedHost::Peer& p, const std::string&) { p.stream.write(std::string(whole) + whole); };
+    g.hosts[0]->respond = [](ScriptedHost::Peer& p, const std::string&) {
+        p.stream.write(std::string(whole) + whole);
+    };
     EXPECT_EQ(status(g.talk(TestGateway::get("/a"))), 200);
     EXPECT_EQ(status(g.talk(TestGateway::get("/a"))), 200);
     EXPECT_EQ(g.hosts[0]->peers.size(), 2u);
@@ -116,20 +125,27 @@
         void on_end() override {}
         void on_broken(int) override {}
     } early;
-    event::Listener listener(g.loop, "127.0.0.1", 0, false, [] { return true; }, [&](event::Fd fd, std::string) {
-        early.stream = std::make_unique<event::Stream>(g.loop, std::move(fd), early);
-    });
-    g.write("hosts.json", R"({"clusterName":"hosts","endpoints":[{"lbEndpoints":[{"endpoint":{"address":{"socketAddress":{"address":"127.0.0.1","portValue":)" +
-                              std::to_string(listener.port()) + "}}}}]}]}");
+    event::Listener listener(
+        g.loop, "127.0.0.1", 0, false, [] { return true; },
+        [&](event::Fd fd, std::string) {
+            early.stream = std::make_unique<event::Stream>(g.loop, std::move(fd), early);
+        });
+    g.write(
+        "hosts.json",
+        R"({"clusterName":"hosts","endpoints":[{"lbEndpoints":[{"endpoint":{"address":{"socketAddress":{"address":"127.0.0.1","portValue":)" +
+            std::to_string(listener.port()) + "}}}}]}]}");
     g.run([] { return false; }, 600ms);
     const std::string body(20 * 1024 * 1024, 'x');
-    const std::string answer = g.talk("PUT /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+    const std::string answer = g.talk("PUT /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: " +
+                                      std::to_string(body.size()) + "\r\n\r\n" + body);
     EXPECT_EQ(status(answer), 413) << answer.substr(0, 200);
 }
 
 TEST(Hosts, GarbageForAnAnswerIsABadAnswer) {
-    for (const char* bad : {"hello\r\n\r\n", "HTTP/1.1 200 OK\nContent-Length: 2\n\nok\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok",
-                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok", "HTTP/1.1 101 Switching Protocols\r\n\r\n\x01\x02\r\n\r\n"}) {
+    for (const char* bad : {"hello\r\n\r\n", "HTTP/1.1 200 OK\nContent-Length: 2\n\nok\r\n\r\n",
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\nok",
+                            "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+                            "HTTP/1.1 101 Switching Protocols\r\n\r\n\x01\x02\r\n\r\n"}) {
         TestGateway g;
         g.hosts[0]->respond = [&](ScriptedHost::Peer& p, const std::string&) { p.stream.write(bad); };
         EXPECT_EQ(status(g.talk(post("/a"))), 502) << bad;
