--- a/tests/gateway/http_test.cpp
+++ b/tests/gateway/http_test.cpp
@@ -5,7 +5,8 @@
 
 TEST(Front, ARequestGoesToAHostAndItsAnswerBack) {
     TestGateway g;
-    const std::string answer = g.talk(TestGateway::get("/a?x=1", "X-Request-Id: r-1\r\nX-Mine: 1\r\nConnection: X-Mine\r\nAccept: b\r\nTE: trailers\r\n"));
+    const std::string answer = g.talk(TestGateway::get(
+        "/a?x=1", "X-Request-Id: r-1\r\nX-Mine: 1\r\nConnection: X-Mine\r\nAccept: b\r\nTE: trailers\r\n"));
     EXPECT_EQ(status(answer), 200) << answer;
     EXPECT_TRUE(answer.ends_with("\r\n\r\nok"));
     EXPECT_TRUE(has(answer, "X-Request-Id: r-1\r\n"));
@@ -13,8 +14,9 @@
     ASSERT_EQ(g.requests(), 1u);
     const std::string& request = g.hosts[0]->requests[0];
     EXPECT_TRUE(request.starts_with("GET /a?x=1 HTTP/1.1\r\nHost: h\r\n"));
-    for (const char* there : {"X-Request-Id: r-1\r\n", "Accept: b\r\n", "Via: 1.1 silverreach-0\r\n", "Forwarded: for=127.0.0.1;proto=http\r\n",
-                              "Silverreach-Attempt: 0\r\n", "traceparent: 00-"})
+    for (const char* there :
+         {"X-Request-Id: r-1\r\n", "Accept: b\r\n", "Via: 1.1 silverreach-0\r\n",
+          "Forwarded: for=127.0.0.1;proto=http\r\n", "Silverreach-Attempt: 0\r\n", "traceparent: 00-"})
         EXPECT_TRUE(has(request, there)) << there;
     for (const char* gone : {"X-Mine", "TE:", "Connection"}) EXPECT_FALSE(has(request, gone)) << gone;
 }
@@ -25,11 +27,14 @@
     g.hosts[0]->respond = [&](ScriptedHost::Peer& p, const std::string& r) {
         const std::string path = r.substr(4, r.find(' ', 4) - 4);
         g.loop.after(path == "/a/0" ? 60ms : 1ms, [&p, path] {
-            p.stream.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(path.size()) + "\r\n\r\n" + path);
+            p.stream.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(path.size()) + "\r\n\r\n" +
+                           path);
         });
     };
     std::string all, order;
-    for (int i = 0; i < 20; ++i) all += "GET /a/" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n" + (i == 19 ? "Connection: close\r\n" : "") + "\r\n";
+    for (int i = 0; i < 20; ++i)
+        all += "GET /a/" + std::to_string(i) + " HTTP/1.1\r\nHost: h\r\n" +
+               (i == 19 ? "Connection: close\r\n" : "") + "\r\n";
     const std::string got = g.talk(all);
     for (int i = 0; i < 20; ++i) {
         const auto at = got.find("\r\n\r\n/a/" + std::to_string(i));
@@ -42,9 +47,13 @@
 TEST(Front, FormsOfBodiesBothWays) {
     TestGateway g;
     g.hosts[0]->respond = [](ScriptedHost::Peer& p, const std::string&) {
-        p.stream.write("HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: T\r\n\r\n3\r\nabc\r\n0\r\nT: v\r\n\r\n");
+        p.stream.write(
+            "HTTP/1.1 103 Early\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: "
+            "T\r\n\r\n3\r\nabc\r\n0\r\nT: v\r\n\r\n");
     };
-    std::string got = g.talk("POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTE: trailers\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
+    std::string got = g.talk(
+        "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTE: trailers\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n");
     EXPECT_EQ(status(got), 200);
     EXPECT_TRUE(has(got, "Transfer-Encoding: chunked\r\n"));
     EXPECT_TRUE(got.ends_with("3\r\nabc\r\n0\r\nT: v\r\n\r\n")) << got;
@@ -78,8 +87,11 @@
     c->stream.write("hi");
     ASSERT_TRUE(g.run([&] { return has(c->got, "200 OK"); }));
     EXPECT_FALSE(has(g.hosts[0]->requests[0], "Expect"));
-    EXPECT_EQ(status(g.talk("POST /nowhere HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")), 404);
-    EXPECT_EQ(status(g.talk("POST /a HTTP/1.1\r\nHost: h\r\nExpect: more\r\nContent-Length: 2\r\n\r\n")), 417);
+    EXPECT_EQ(status(g.talk(
+                  "POST /nowhere HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n")),
+              404);
+    EXPECT_EQ(status(g.talk("POST /a HTTP/1.1\r\nHost: h\r\nExpect: more\r\nContent-Length: 2\r\n\r\n")),
+              417);
 }
 
 TEST(Front, NothingThatIsBadReachesAHost) {
@@ -88,7 +100,8 @@
     TestGateway g(o);
     const std::string post = "POST /a HTTP/1.1\r\nHost: h\r\n";
     const std::vector<std::pair<int, std::string>> cases = {
-        {400, post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /a HTTP/1.1\r\nHost: h\r\n\r\n"},
+        {400, post + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /a "
+                     "HTTP/1.1\r\nHost: h\r\n\r\n"},
         {400, post + "Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"},
         {400, post + "Content-Length: +3\r\n\r\nabc"},
         {400, post + "Content-Length : 3\r\n\r\nabc"},
@@ -174,7 +187,8 @@
     auto c = g.connect();
     c->stream.read(false);
     c->stream.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
-    EXPECT_TRUE(g.run([&] { return g.hosts[0]->ended > 0; }, 4s)) << "the host's connection ends with the client's";
+    EXPECT_TRUE(g.run([&] { return g.hosts[0]->ended > 0; }, 4s))
+        << "the host's connection ends with the client's";
     EXPECT_LT(written, size / 2) << "back pressure reached the host";
     c->stream.read(true);
     g.run([&] { return c->over(); });
@@ -191,13 +205,15 @@
     auto c = g.connect();
     c->stream.write(TestGateway::get("/a"));
     ASSERT_TRUE(g.run([&] { return held; }));
-    g.describe("openapi: 3.1.0\nx-silverreach-class: read\nx-silverreach-units: 1\npaths: {/new: {get: {}}}\n");
+    g.describe(
+        "openapi: 3.1.0\nx-silverreach-class: read\nx-silverreach-units: 1\npaths: {/new: {get: {}}}\n");
     EXPECT_TRUE(g.instance->reload());
     g.run([&] { return c->over(); });
     EXPECT_EQ(status(c->got), 200) << "in hand, it ends under the one it began with";
     EXPECT_EQ(status(g.talk(TestGateway::get("/a"))), 404);
     EXPECT_EQ(status(g.talk(TestGateway::get("/new"))), 200);
-    g.describe("openapi: 3.1.0\nx-silverreach-class: unknown\nx-silverreach-units: 1\npaths: {/worse: {get: {}}}\n");
+    g.describe(
+        "openapi: 3.1.0\nx-silverreach-class: unknown\nx-silverreach-units: 1\npaths: {/worse: {get: {}}}\n");
     EXPECT_FALSE(g.instance->reload());
     const std::string again = g.talk(TestGateway::get("/new"));
     EXPECT_EQ(status(again), 200) << again;
@@ -207,7 +223,8 @@
 TEST(Front, RefusalsSayWhyAndWhenToComeAgain) {
     TestGateway g;
     std::string answer;
-    for (int i = 0; i < 4 && status(answer) != 429; ++i) answer = g.talk(TestGateway::get("/mine", "X-Key: k2\r\n"));
+    for (int i = 0; i < 4 && status(answer) != 429; ++i)
+        answer = g.talk(TestGateway::get("/mine", "X-Key: k2\r\n"));
     EXPECT_EQ(status(answer), 429) << answer;
     EXPECT_TRUE(has(answer, "urn:silverreach:reason:quota"));
     EXPECT_TRUE(has(answer, "Retry-After: "));
--- a/tests/gateway/rig.h
+++ b/tests/gateway/rig.h
@@ -1,4 +1,5 @@
-// A gateway in this process, hosts that a test scripts byte by byte, and raw clients; all on one loop on loopback.
+// A gateway in this process, hosts that a test scripts byte by byte, and raw clients; all on one loop on
+// loopback.
 #pragma once
 
 #include <gtest/gtest.h>
@@ -52,8 +53,12 @@
     std::vector<std::unique_ptr<Peer>> peers;
     event::Listener listener;
     explicit ScriptedHost(event::Loop& l)
-        : loop(l), listener(l, "127.0.0.1", 0, false, [] { return true; },
-                            [this](event::Fd fd, std::string) { peers.push_back(std::make_unique<Peer>(*this, std::move(fd))); }) {}
+        : loop(l),
+          listener(
+              l, "127.0.0.1", 0, false, [] { return true; },
+              [this](event::Fd fd, std::string) {
+                  peers.push_back(std::make_unique<Peer>(*this, std::move(fd)));
+              }) {}
     void on_data(std::string_view) override {}
     void on_end() override {}
     void on_broken(int) override {}
@@ -90,7 +95,8 @@
         for (int i = 0; i < o.hosts; ++i) hosts.push_back(std::make_unique<ScriptedHost>(loop));
         list_hosts();
         describe(o.description.empty() ? default_description() : o.description);
-        const std::string text = R"(listen { address: "127.0.0.1:0" deadline_header: "X-Deadline-Ms" )" + o.listen + R"( }
+        const std::string text =
+            R"(listen { address: "127.0.0.1:0" deadline_header: "X-Deadline-Ms" )" + o.listen + R"( }
 api { description: "api.yaml" }
 class { name: "read" aim_ms: 500 deadline_ms: 1000 repeat_window_ms: 2000 }
 plan { name: "basic" rate: 1000 burst: 1000 }
@@ -132,7 +138,9 @@
     void list_hosts() {
         std::string list;
         for (const auto& h : hosts)
-            list += (list.empty() ? "" : ",") + std::string(R"({"endpoint":{"address":{"socketAddress":{"address":"127.0.0.1","portValue":)") +
+            list += (list.empty() ? "" : ",") +
+                    std::string(
+                        R"({"endpoint":{"address":{"socketAddress":{"address":"127.0.0.1","portValue":)") +
                     std::to_string(h->listener.port()) + "}}}}";
         write("hosts.json", R"({"clusterName":"hosts","endpoints":[{"lbEndpoints":[)" + list + "]}]}");
     }
@@ -149,7 +157,8 @@
         return held;
     }
     std::unique_ptr<Client> connect() { return std::make_unique<Client>(loop, instance->port()); }
-    // All that comes back until the gateway closes, or `marks` of "HTTP/1.1" have come with their bodies at rest.
+    // All that comes back until the gateway closes, or `marks` of "HTTP/1.1" have come with their bodies at
+    // rest.
     std::string talk(const std::string& bytes, std::chrono::milliseconds most = 5s) {
         auto c = connect();
         c->stream.write(bytes);
@@ -175,6 +184,10 @@
     std::string folder_;
 };
 
-inline int status(const std::string& answer) { return answer.size() < 12 ? 0 : std::atoi(answer.c_str() + 9); }
-inline bool has(const std::string& text, const std::string& words) { return text.find(words) != std::string::npos; }
+inline int status(const std::string& answer) {
+    return answer.size() < 12 ? 0 : std::atoi(answer.c_str() + 9);
+}
+inline bool has(const std::string& text, const std::string& words) {
+    return text.find(words) != std::string::npos;
+}
 }  // namespace rig
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -44,11 +44,13 @@
     const std::string line = "POST / HTTP/1.1\r\nHost: h\r\n";
     EXPECT_EQ(status_of(line), 0);
     EXPECT_EQ(status_of(line + "Content-Length: 5\r\n"), 0);
-    for (const char* bad : {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5\r\nContent-Length: 5\r\n",
-                            "Content-Length: +5\r\n", "Content-Length: -5\r\n", "Content-Length: 5, 5\r\n", "Content-Length: 0x5\r\n",
-                            "Content-Length: \r\n", "Content-Length : 5\r\n", "X: a\n b\r\n", "X: a\r\n folded\r\n", " X: a\r\n",
-                            "X\r\n", ": a\r\n", "X: a\rb\r\n", "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
-                            "Host: other\r\n", "X: \x01\r\n", "X y: a\r\n", "Content-Length: 5\nX: a\r\n"})
+    for (const char* bad :
+         {"Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "Content-Length: 5\r\nContent-Length: 5\r\n",
+          "Content-Length: +5\r\n", "Content-Length: -5\r\n", "Content-Length: 5, 5\r\n",
+          "Content-Length: 0x5\r\n", "Content-Length: \r\n", "Content-Length : 5\r\n", "X: a\n b\r\n",
+          "X: a\r\n folded\r\n", " X: a\r\n", "X\r\n", ": a\r\n", "X: a\rb\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n", "Host: other\r\n", "X: \x01\r\n",
+          "X y: a\r\n", "Content-Length: 5\nX: a\r\n"})
         EXPECT_EQ(status_of(line + bad), 400) << bad;
     EXPECT_EQ(status_of(line + std::string("X: a\0b\r\n", 8)), 400);
     EXPECT_EQ(status_of(line + "Transfer-Encoding: gzip, chunked\r\n"), 501);
@@ -58,8 +60,9 @@
     EXPECT_EQ(status_of("GET / HTTP/1.1\r\n"), 400) << "no Host";
     EXPECT_EQ(status_of("GET / HTTP/1.0\r\n"), 0);
     EXPECT_EQ(status_of("GET / HTTP/2.0\r\nHost: h\r\n"), 505);
-    for (const char* bad : {"GET  / HTTP/1.1\r\nHost: h\r\n", "GET /\r\nHost: h\r\n", "G(T / HTTP/1.1\r\nHost: h\r\n",
-                            "GET /\t HTTP/1.1\r\nHost: h\r\n", "GET / HTTP/1.1 \r\nHost: h\r\n", "GET / HTTP/1.1\r\nHost: a/b\r\n"})
+    for (const char* bad : {"GET  / HTTP/1.1\r\nHost: h\r\n", "GET /\r\nHost: h\r\n",
+                            "G(T / HTTP/1.1\r\nHost: h\r\n", "GET /\t HTTP/1.1\r\nHost: h\r\n",
+                            "GET / HTTP/1.1 \r\nHost: h\r\n", "GET / HTTP/1.1\r\nHost: a/b\r\n"})
         EXPECT_EQ(status_of(bad), 400) << bad;
     EXPECT_EQ(status_of("GET /" + std::string(100, 'a') + " HTTP/1.1\r\nHost: h\r\n", {50, 1000, 100}), 414);
     EXPECT_EQ(status_of(line + "X: " + std::string(1000, 'a') + "\r\n", {50, 500, 100}), 431);
@@ -75,7 +78,8 @@
 
 TEST(Head, SoundIdentitiesOnly) {
     EXPECT_TRUE(sound_request_id("a-B_9."));
-    for (const std::string& bad : {std::string(), std::string(65, 'a'), std::string("a b"), std::string("a\r\nX: y"), std::string("\xc3\xa9")})
+    for (const std::string& bad : {std::string(), std::string(65, 'a'), std::string("a b"),
+                                   std::string("a\r\nX: y"), std::string("\xc3\xa9")})
         EXPECT_FALSE(sound_request_id(bad));
     EXPECT_TRUE(sound_traceparent("00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01"));
     EXPECT_FALSE(sound_traceparent("00-00000000000000000000000000000000-b7ad6b7169203331-01"));
@@ -93,8 +97,10 @@
 }
 
 TEST(Parser, AnyCutOfTheBytesGivesTheSameMessages) {
-    const std::string all = "\r\nPOST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n"
-                            "GET /b HTTP/1.1\r\nHost: h\r\n\r\nPUT /c HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy";
+    const std::string all =
+        "\r\nPOST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n3\r\nabc\r\n2;x=y\r\nde\r\n0\r\nT: v\r\n\r\n"
+        "GET /b HTTP/1.1\r\nHost: h\r\n\r\nPUT /c HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxy";
     for (std::size_t step = 1; step <= all.size(); ++step) {
         Seen seen;
         Parser parser(Parser::Kind::request, seen);
@@ -126,7 +132,8 @@
 TEST(Parser, AnswersOfEveryForm) {
     Seen seen;
     Parser parser(Parser::Kind::response, seen);
-    feed(parser, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", 7);
+    feed(parser, "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+         7);
     ASSERT_EQ(seen.heads.size(), 1u) << "1xx is passed over";
     EXPECT_EQ(seen.body, "ok");
     parser.answer_to_head(true);
@@ -141,22 +148,27 @@
 }
 
 TEST(Report, OrcaTextAndJson) {
-    const auto text = upstream::read_report("TEXT cpu_utilization=0.5, named_metrics.queue=3,named_metrics.inflight=7,other=x");
+    const auto text = upstream::read_report(
+        "TEXT cpu_utilization=0.5, named_metrics.queue=3,named_metrics.inflight=7,other=x");
     EXPECT_EQ(text.utilization, 0.5);
     EXPECT_EQ(text.queued, 3);
     EXPECT_EQ(text.outstanding, 7);
-    const auto json = upstream::read_report(R"(JSON {"cpu_utilization": 0.25, "named_metrics": {"queue": 2}})");
+    const auto json =
+        upstream::read_report(R"(JSON {"cpu_utilization": 0.25, "named_metrics": {"queue": 2}})");
     EXPECT_EQ(json.utilization, 0.25);
     EXPECT_EQ(json.queued, 2);
-    for (const char* bad : {"", "BIN abc", "TEXT queue", "TEXT named_metrics.queue=-4", "JSON [", "TEXT named_metrics.queue=nan"})
+    for (const char* bad : {"", "BIN abc", "TEXT queue", "TEXT named_metrics.queue=-4", "JSON [",
+                            "TEXT named_metrics.queue=nan"})
         EXPECT_LT(upstream::read_report(bad).queued, 0) << bad;
 }
 
 TEST(Endpoints, ListsAreReadWholeOrNotAtAll) {
     const auto list = [](const std::string& endpoint) {
-        return R"({"versionInfo":"7","resources":[{"clusterName":"hosts","endpoints":[{"locality":{"zone":"a"},"lbEndpoints":[)" + endpoint + "]}]}]}";
+        return R"({"versionInfo":"7","resources":[{"clusterName":"hosts","endpoints":[{"locality":{"zone":"a"},"lbEndpoints":[)" +
+               endpoint + "]}]}]}";
     };
-    const std::string one = R"({"endpoint":{"address":{"socketAddress":{"address":"::1","portValue":80}},"additionalAddresses":[{"address":{"socket_address":{"address":"127.0.0.1","port_value":81}}}]},"healthStatus":"DRAINING","loadBalancingWeight":3,"metadata":{"filterMetadata":{"silverreach":{"cell":2,"started_unix_ms":5}}}})";
+    const std::string one =
+        R"({"endpoint":{"address":{"socketAddress":{"address":"::1","portValue":80}},"additionalAddresses":[{"address":{"socket_address":{"address":"127.0.0.1","port_value":81}}}]},"healthStatus":"DRAINING","loadBalancingWeight":3,"metadata":{"filterMetadata":{"silverreach":{"cell":2,"started_unix_ms":5}}}})";
     roster::HostList hosts;
     std::vector<openapi::Problem> problems;
     ASSERT_TRUE(roster::parse_endpoints(list(one), "s", "hosts", hosts, problems));
@@ -167,9 +179,12 @@
     EXPECT_EQ(hosts.hosts[0].entry.cell, 2);
     EXPECT_EQ(hosts.hosts[0].entry.zone, "a");
     EXPECT_EQ(hosts.hosts[0].addresses, std::vector<std::string>{"127.0.0.1:81"});
-    for (const std::string& bad : {std::string("{"), std::string("{}"), list(one + "," + one), list("{}"),
-                                   list(R"({"endpoint":{"address":{"socketAddress":{"address":"1.2.3.4","portValue":0}}}})"),
-                                   list(R"({"endpoint":{"address":{"socketAddress":{"address":"1.2.3.4","portValue":1}}},"healthStatus":"FINE"})")}) {
+    for (
+        const std::string& bad :
+        {std::string("{"), std::string("{}"), list(one + "," + one), list("{}"),
+         list(R"({"endpoint":{"address":{"socketAddress":{"address":"1.2.3.4","portValue":0}}}})"),
+         list(
+             R"({"endpoint":{"address":{"socketAddress":{"address":"1.2.3.4","portValue":1}}},"healthStatus":"FINE"})")}) {
         problems.clear();
         EXPECT_FALSE(roster::parse_endpoints(bad, "s", "hosts", hosts, problems)) << bad;
         EXPECT_FALSE(problems.empty());
@@ -180,7 +195,8 @@
     roster::StartTimes starts;
     const Micros first = starts.place("a", 1000, Micros(50'000'000), 3000);
     EXPECT_EQ(first, Micros(48'000'000));
-    EXPECT_EQ(starts.place("a", 1000, Micros(60'000'000), 99'000), first) << "a step of the wall clock moves nothing";
+    EXPECT_EQ(starts.place("a", 1000, Micros(60'000'000), 99'000), first)
+        << "a step of the wall clock moves nothing";
     EXPECT_EQ(starts.place("a", 0, Micros(1), 1), Micros(0));
     EXPECT_EQ(starts.place("b", 1, Micros(5), 100'000), Micros(1)) << "before this clock began, yet a start";
     EXPECT_EQ(starts.place("c", 5000, Micros(70), 3000), Micros(70)) << "a start in the future is now";
--- a/tests/openapi/openapi_test.cpp
+++ b/tests/openapi/openapi_test.cpp
@@ -7,12 +7,15 @@
 using namespace silverreach::openapi;
 
 namespace {
-const std::string head = "openapi: 3.1.0\ninfo: {title: t, version: '1'}\nx-silverreach-class: read\nx-silverreach-units: 1\n";
+const std::string head =
+    "openapi: 3.1.0\ninfo: {title: t, version: '1'}\nx-silverreach-class: read\nx-silverreach-units: 1\n";
 
 struct Loaded {
     std::shared_ptr<const Description> description;
     std::vector<Problem> problems;
-    const Route* find(Method m, std::string_view path) const { return description->table.find(m, path).route; }
+    const Route* find(Method m, std::string_view path) const {
+        return description->table.find(m, path).route;
+    }
     bool has(int line, const std::string& words) const {
         for (const Problem& p : problems)
             if (p.line == line && to_string(p).find(words) != std::string::npos) return true;
@@ -39,12 +42,14 @@
     ASSERT_TRUE(l.description);
     EXPECT_EQ(l.find(Method::get, "/pets/mine")->operation, "mine");
     EXPECT_EQ(l.find(Method::get, "/pets/7")->operation, "one");
-    EXPECT_EQ(l.find(Method::get, "/pets/mine/owner")->operation, "owner") << "the literal leads nowhere here";
+    EXPECT_EQ(l.find(Method::get, "/pets/mine/owner")->operation, "owner")
+        << "the literal leads nowhere here";
     EXPECT_EQ(l.find(Method::get, "/pets/7.json")->operation, "json") << "more literal text goes first";
     const auto range = l.description->table.find(Method::get, "/r/1-2-3");
     ASSERT_TRUE(range.route);
     EXPECT_EQ(range.parameters[0].second + "," + range.parameters[1].second, "1,2-3");
-    EXPECT_EQ(l.find(Method::get, "/pets/%6dine")->operation, "mine") << "escapes of plain characters are the same path";
+    EXPECT_EQ(l.find(Method::get, "/pets/%6dine")->operation, "mine")
+        << "escapes of plain characters are the same path";
     EXPECT_FALSE(l.description->table.find(Method::get, "/pets/").path_known);
     EXPECT_FALSE(l.description->table.find(Method::get, "//pets/7").path_known);
     EXPECT_FALSE(l.description->table.find(Method::get, "/pets/7/").path_known);
@@ -108,7 +113,8 @@
     EXPECT_EQ(l.find(Method::post, "/k")->effect, Effect::keyed);
     EXPECT_TRUE(l.find(Method::post, "/k")->key_required);
     EXPECT_EQ(l.find(Method::put, "/k")->effect, Effect::unsafe);
-    EXPECT_TRUE(read(head + "paths: {/a: {post: {x-silverreach-effect: keyed}}}\n").has(5, "Idempotency-Key"));
+    EXPECT_TRUE(
+        read(head + "paths: {/a: {post: {x-silverreach-effect: keyed}}}\n").has(5, "Idempotency-Key"));
 }
 
 TEST(Description, ServersVariablesAndOverridesGiveBasePaths) {
@@ -167,11 +173,14 @@
   /c: {get: {security: []}}
 )");
     ASSERT_TRUE(l.description);
-    EXPECT_EQ(l.find(Method::get, "/a")->keys, (std::vector<Carrier>{{Place::query, "key", false}, {Place::header, "Authorization", true}}));
+    EXPECT_EQ(l.find(Method::get, "/a")->keys,
+              (std::vector<Carrier>{{Place::query, "key", false}, {Place::header, "Authorization", true}}));
     EXPECT_FALSE(l.find(Method::get, "/a")->anonymous);
     EXPECT_TRUE(l.find(Method::get, "/b")->anonymous);
     EXPECT_TRUE(l.find(Method::get, "/c")->anonymous);
-    EXPECT_FALSE(read(head + "components: {securitySchemes: {o: {type: oauth2}}}\nsecurity: [{o: []}]\npaths: {/a: {get: {}}}\n").description);
+    EXPECT_FALSE(read(head + "components: {securitySchemes: {o: {type: oauth2}}}\nsecurity: [{o: "
+                             "[]}]\npaths: {/a: {get: {}}}\n")
+                     .description);
     EXPECT_TRUE(read(head + "security: [{nobody: []}]\npaths: {/a: {get: {}}}\n").has(5, "securitySchemes"));
 }
 
@@ -191,27 +200,34 @@
 TEST(Description, BadOnesNameLineFieldAndWhatWasExpected) {
     Policy known;
     known.classes = {"read"};
-    EXPECT_TRUE(read(head + "paths: {/a: {get: {x-silverreach-class: nope}}}\n", known).has(5, "one of read, not 'nope'"));
+    EXPECT_TRUE(read(head + "paths: {/a: {get: {x-silverreach-class: nope}}}\n", known)
+                    .has(5, "one of read, not 'nope'"));
     EXPECT_TRUE(read(head + "paths: {/a: {get: {x-silverreach-units: -1}}}\n").has(5, "a number from 0"));
     EXPECT_TRUE(read(head + "paths: {/a: {get: {x-silverreach-units: '1'}}}\n").has(5, "a number from 0"));
-    EXPECT_TRUE(read(head + "paths: {/a: {get: {x-silverreach-unit: 1}}}\n").has(5, "-units-from or -effect"));
+    EXPECT_TRUE(
+        read(head + "paths: {/a: {get: {x-silverreach-unit: 1}}}\n").has(5, "-units-from or -effect"));
     EXPECT_TRUE(read(head + "paths: {a: {get: {}}}\n").has(5, "starts with '/'"));
     EXPECT_TRUE(read(head + "paths: {'/{a}{b}': {get: {}}}\n").has(5, "text between"));
     EXPECT_TRUE(read(head + "paths: {'/{a': {get: {}}}\n").has(5, "'}'"));
     EXPECT_TRUE(read(head + "paths: {'/{a}': {get: {}}}\n").has(5, "path parameter 'a'"));
-    EXPECT_TRUE(read(head + "paths:\n  /{a}: {parameters: [{name: a, in: path}], get: {}}\n  /{b}: {parameters: [{name: b, in: path}], get: {}}\n").has(7, "line 6"));
+    EXPECT_TRUE(read(head + "paths:\n  /{a}: {parameters: [{name: a, in: path}], get: {}}\n  /{b}: "
+                            "{parameters: [{name: b, in: path}], get: {}}\n")
+                    .has(7, "line 6"));
     EXPECT_TRUE(read(head + "paths: {/a: {get: {}}}\npaths: {}\n").has(6, "once"));
     EXPECT_TRUE(read("openapi: 2.0\npaths: {/a: {get: {}}}\n").has(1, "3.0.x or 3.1.x"));
     EXPECT_TRUE(read("{\"openapi\": \"3.0.0\",\n\"paths\": {]}").has(2, "valid JSON"));
     EXPECT_TRUE(read("a: [").problems[0].expected.find("valid YAML") == 0);
     EXPECT_FALSE(read("").description);
-    EXPECT_TRUE(read(head + "paths: {/a: {get: {x-silverreach-units-from: {in: header, name: X-U}}}}\n").has(5, "the operation declares"));
+    EXPECT_TRUE(read(head + "paths: {/a: {get: {x-silverreach-units-from: {in: header, name: X-U}}}}\n")
+                    .has(5, "the operation declares"));
     std::string deep = "x: ";
     for (int i = 0; i < 100; ++i) deep += "[";
     for (int i = 0; i < 100; ++i) deep += "]";
     EXPECT_NE(read(deep + "\n").problems.at(0).expected.find("64"), std::string::npos);
     std::string bomb = "a: &a [x,x,x,x,x,x,x,x,x,x]\n";
-    for (char c = 'b'; c < 'j'; ++c) bomb += fmt::format("{0}: &{0} [*{1},*{1},*{1},*{1},*{1},*{1},*{1},*{1},*{1},*{1}]\n", c, static_cast<char>(c - 1));
+    for (char c = 'b'; c < 'j'; ++c)
+        bomb += fmt::format("{0}: &{0} [*{1},*{1},*{1},*{1},*{1},*{1},*{1},*{1},*{1},*{1}]\n", c,
+                            static_cast<char>(c - 1));
     EXPECT_NE(read(bomb).problems.at(0).expected.find("2000000"), std::string::npos);
 }
 
