--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -40,7 +40,8 @@
       folder_(std::move(folder)),
       log_(log),
       accounts_(config),
-      timers_(loop, [this](std::uint64_t token) { core_->timer_fired(loop_.now(), {token}); }) {
+      timers_(loop, [this](std::uint64_t token) { core_->timer_fired(loop_.now(), {token}); }),
+      background_(loop) {
     std::vector<openapi::Problem> problems;
     description_ = read_description(problems);
     if (!description_) {
@@ -97,9 +98,28 @@
     return openapi::load(*text, path, config::policy_of(config_), problems);
 }
 
-bool Instance::reload() {
-    std::vector<openapi::Problem> problems;
-    auto fresh = read_description(problems);
+// A large description takes longer to read than answers may wait, so it is read on a thread.
+void Instance::reload(std::function<void(bool)> done) {
+    if (background_.busy()) {
+        reload_again_ = true;
+        if (done) done(false);
+        return;
+    }
+    struct Read {
+        std::vector<openapi::Problem> problems;
+        std::shared_ptr<const openapi::Description> fresh;
+    };
+    auto read = std::make_shared<Read>();
+    background_.run([this, read] { read->fresh = read_description(read->problems); },
+                    [this, read, done = std::move(done)] {
+                        const bool good = take_description(std::move(read->fresh), read->problems);
+                        if (done) done(good);
+                        if (std::exchange(reload_again_, false)) reload();
+                    });
+}
+
+bool Instance::take_description(std::shared_ptr<const openapi::Description> fresh,
+                                const std::vector<openapi::Problem>& problems) {
     for (const auto& p : problems)
         log_.write(log::Level::error, "description_bad", {{"problem", openapi::to_string(p)}});
     if (!fresh) {
@@ -141,6 +161,7 @@
                           {"opened", whole(up.opened)},
                           {"reused", whole(up.reused)}};
     log_.write(log::Level::info, "counts", fields);
+    log_.flush();
     if (!peers_) return;
     const auto& p = peers_->stats();
     fields = {{"sent", whole(p.sent)}, {"received", whole(p.received)}, {"not_sent", whole(p.lost)}};
--- a/src/cli/instance.h
+++ b/src/cli/instance.h
@@ -7,6 +7,7 @@
 
 #include "config/config.h"
 #include "core/core.h"
+#include "event/background.h"
 #include "event/loop.h"
 #include "event/token_timers.h"
 #include "fronts/http/front.h"
@@ -25,8 +26,10 @@
     ~Instance();
 
     int port() const { return front_->port(); }
-    // Reads the description again; a bad one is logged with all its errors and the old one stays.
-    bool reload();
+    // Reads the description again, beside the traffic; a bad one is logged with all its errors and the old
+    // one stays. `done`, where given, hears whether it is in force. Asked again meanwhile, it reads once
+    // more.
+    void reload(std::function<void(bool)> done = {});
     // Takes no more, ends what is in hand, then calls `done`, after `most` at the latest.
     void drain(Micros most, std::function<void()> done);
     void log_counts();
@@ -51,6 +54,8 @@
 
     std::shared_ptr<const openapi::Description> read_description(
         std::vector<openapi::Problem>& problems) const;
+    bool take_description(std::shared_ptr<const openapi::Description> fresh,
+                          const std::vector<openapi::Problem>& problems);
     void record(const fronts::http::Record& record);
     void hosts_changed(std::vector<HostEntry> hosts);
     void wait_for_drain(Micros until, std::function<void()> done);
@@ -63,6 +68,8 @@
     std::shared_ptr<const openapi::Description> description_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     event::TokenTimers timers_;
+    event::Background background_;
+    bool reload_again_ = false;
     std::unique_ptr<core::Core> core_;
     std::unique_ptr<upstream::Upstream> upstream_;
     std::unique_ptr<peers::Peers> peers_;
--- a/src/fronts/http/connection.cpp
+++ b/src/fronts/http/connection.cpp
@@ -65,7 +65,7 @@
     r.begun = since_;
     r.head = std::move(head);
     r.side = {r.head.minor, r.head.method == "HEAD", r.head.keep_alive,
-              wire::lists(r.head.fields, "TE", "trailers")};
+              wire::lists(r.head.fields, "TE", "trailers"), {}};
     r.identity = identity_of(r.head, front_.random_);
     r.description = front_.hooks_.description();
     const auto refuse = [&](const Refusal& refusal, std::string_view reason) {
@@ -146,6 +146,7 @@
     Request& r = *request_;
     // A body that was not read to its end would be taken for the next request.
     if (!r.body_read) r.side.keep_alive = false;
+    r.side.date = front_.date();
     stream_.write(write_answer(answer, r.side, r.identity.request_id));
     note(answer.status, reason);
     message_over();
@@ -165,6 +166,7 @@
     progress_ = front_.loop_.now();
     r.pause = std::move(pause);
     r.host = host, r.status = head.status;
+    r.side.date = front_.date();
     stream_.write(head_for_client(head, r.side, r.identity.request_id, front_.via_, r.framing));
     if (r.framing == Framing::until_close) r.side.keep_alive = false;
 }
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -48,6 +48,11 @@
     connections_.erase(it);
 }
 
+const std::string& Front::date() {
+    if (const std::time_t now = std::time(nullptr); now != date_of_) date_ = wire::date_text(date_of_ = now);
+    return date_;
+}
+
 Front::Connection* Front::find(RequestId id) const {
     const auto it = by_id_.find(id);
     return it == by_id_.end() ? nullptr : it->second;
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -55,6 +55,7 @@
   private:
     class Connection;
     Connection* find(RequestId id) const;
+    const std::string& date();
     void accept(event::Fd fd, std::string client);
     void bury(Connection& connection);
 
@@ -69,6 +70,8 @@
     std::unordered_map<Connection*, std::unique_ptr<Connection>> connections_;
     std::vector<std::unique_ptr<Connection>> gone_;
     std::unordered_map<RequestId, Connection*> by_id_;
+    std::string date_;
+    std::time_t date_of_ = 0;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::unique_ptr<event::Listener> listener_;
 };
--- a/src/fronts/http/translate.cpp
+++ b/src/fronts/http/translate.cpp
@@ -75,6 +75,7 @@
     }
     add(out, "Via", via_line + fmt::format("1.{} {}", head.minor, via));
     add(out, "X-Request-Id", request_id);
+    if (!client.date.empty() && !wire::find(head.fields, "Date")) add(out, "Date", client.date);
     if (framing == Framing::chunked) add(out, "Transfer-Encoding", "chunked");
     const bool keep = client.keep_alive && framing != Framing::until_close;
     if (!keep) add(out, "Connection", "close");
@@ -159,6 +160,7 @@
     if (!request_id.empty()) body["instance"] = "urn:silverreach:request:" + request_id;
     const std::string text = body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n";
     std::string out = fmt::format("HTTP/1.1 {} {}\r\n", answer.status, wire::reason_phrase(answer.status));
+    if (!client.date.empty()) add(out, "Date", client.date);
     add(out, "Content-Type", "application/problem+json");
     add(out, "Content-Length", fmt::format_int(text.size()).c_str());
     if (!request_id.empty()) add(out, "X-Request-Id", request_id);
--- a/src/fronts/http/translate.h
+++ b/src/fronts/http/translate.h
@@ -24,6 +24,7 @@
 struct ClientSide {
     int minor = 1;
     bool to_head = false, keep_alive = true, trailers = false;
+    std::string date;  // of now, for answers that have none (RFC 9110 6.6.1)
 };
 // A host's head as the client gets it; `framing` says how the body must follow.
 std::string head_for_client(const wire::Head& head, const ClientSide& client, const std::string& request_id,
--- a/src/http/head.cpp
+++ b/src/http/head.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdio>
 
 namespace silverreach::http {
 namespace {
@@ -194,6 +195,18 @@
            hex(36, 16) && hex(53, 2);
 }
 
+std::string date_text(std::time_t at) {
+    // Written out, since strftime's names follow the locale.
+    static constexpr std::string_view days = "SunMonTueWedThuFriSat",
+                                      months = "JanFebMarAprMayJunJulAugSepOctNovDec";
+    std::tm t{};
+    gmtime_r(&at, &t);
+    char text[40];
+    std::snprintf(text, sizeof text, "%.3s, %02d %.3s %04d %02d:%02d:%02d GMT", days.data() + 3 * t.tm_wday,
+                  t.tm_mday, months.data() + 3 * t.tm_mon, t.tm_year + 1900, t.tm_hour, t.tm_min, t.tm_sec);
+    return text;
+}
+
 std::string_view reason_phrase(int status) {
     static constexpr std::array<std::pair<int, std::string_view>, 24> phrases = {
         {{200, "OK"},
--- a/src/http/head.h
+++ b/src/http/head.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <ctime>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -52,5 +53,6 @@
 bool sound_traceparent(std::string_view text);
 
 std::string_view reason_phrase(int status);
+std::string date_text(std::time_t at);  // IMF-fixdate, RFC 9110 5.6.7
 
 }  // namespace silverreach::http
--- /dev/null
+++ b/tests/cli/commands.sh
@@ -0,0 +1,52 @@
+#!/usr/bin/env bash
+# The command line as a user meets it: exit codes, help on each command, standard input. $1: the program, $2: the root.
+set -u
+program=$1 root=$2 failed=0
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+expect() {  # what, wanted exit code, wanted words, command...
+    local what=$1 code=$2 words=$3 said got
+    shift 3
+    said=$("$@" 2>&1 </dev/stdin)
+    got=$?
+    if [ "$got" != "$code" ] || ! grep -qF -- "$words" <<<"$said"; then
+        echo "$what: exit $got, wanted $code with '$words': $said"
+        failed=1
+    fi
+}
+for command in "" serve check routes drill standin "standin host" "standin client" "standin relay" "standin roster"; do
+    # shellcheck disable=SC2086
+    expect "help of '$command'" 0 "Usage" "$program" $command --help
+done
+expect "no command" 2 "subcommand" "$program"
+expect "unknown command" 2 "" "$program" sing
+expect "missing option" 2 "--config" "$program" serve
+expect "missing file" 3 "cannot be read" "$program" check --config "$work/none"
+echo 'listen { address: "x" }' >"$work/bad"
+expect "bad configuration" 1 "bad:1: listen.address" "$program" check --config "$work/bad"
+expect "several problems at once" 1 "problems" "$program" check --config "$work/bad"
+expect "routes" 0 "/v1/audits" "$program" routes "$root/drill/scenarios/birds.yaml"
+expect "routes from standard input" 0 "/v1/audits" "$program" routes - <"$root/drill/scenarios/birds.yaml"
+echo 'openapi: 3.1.0' >"$work/api.yaml"
+expect "bad description" 1 "paths: expected" "$program" routes "$work/api.yaml"
+cat >"$work/good" <<EOF
+listen { address: "127.0.0.1:0" }
+api { description: "api.yaml" }
+class { name: "read" aim_ms: 100 deadline_ms: 500 }
+hosts { file: "hosts.json" }
+EOF
+expect "a configuration whose description is bad" 1 "paths: expected" "$program" check --config "$work/good"
+expect "serving with a bad description" 3 "paths: expected" "$program" serve --config "$work/good"
+printf 'openapi: 3.1.0\nx-silverreach-class: read\nx-silverreach-units: 1\npaths: {/a: {get: {}}}\n' >"$work/api.yaml"
+expect "check" 0 "1 routes" "$program" check --config "$work/good"
+echo '{"clusterName":"hosts","endpoints":[]}' >"$work/hosts.json"
+"$program" serve --config "$work/good" >"$work/out" 2>"$work/log" &
+server=$!
+for _ in $(seq 100); do grep -q "listening on port" "$work/out" && break || sleep 0.05; done
+kill -HUP "$server"
+sleep 0.3
+kill -TERM "$server"
+wait "$server" || { echo "SIGTERM: exit $?"; failed=1; }
+grep -q description_changed "$work/log" || { echo "SIGHUP read nothing: $(cat "$work/log")"; failed=1; }
+expect "a bad scenario" 1 "expected a value" "$program" drill "$work/api.yaml"
+exit $failed
--- a/tests/gateway/http_test.cpp
+++ b/tests/gateway/http_test.cpp
@@ -11,6 +11,7 @@
     EXPECT_TRUE(answer.ends_with("\r\n\r\nok"));
     EXPECT_TRUE(has(answer, "X-Request-Id: r-1\r\n"));
     EXPECT_TRUE(has(answer, "Via: 1.1 silverreach-0\r\n"));
+    EXPECT_TRUE(has(answer, "Date: ")) << "the host sent none";
     ASSERT_EQ(g.requests(), 1u);
     const std::string& request = g.hosts[0]->requests[0];
     EXPECT_TRUE(request.starts_with("GET /a?x=1 HTTP/1.1\r\nHost: h\r\n"));
@@ -170,19 +171,17 @@
 TEST(Front, AClientThatTakesNothingPausesTheHostAndIsCut) {
     Options o;
     o.listen = "stalled_ms: 600";
-    o.more = "";
     TestGateway g(o);
     const std::size_t size = 64 * 1024 * 1024;
     std::size_t written = 0;
+    std::function<void(ScriptedHost::Peer&)> more = [&](ScriptedHost::Peer& p) {
+        if (p.stream.closed() || written >= size) return;
+        if (p.stream.queued() == 0) p.stream.write(std::string(1 << 20, 'x')), written += 1 << 20;
+        g.loop.after(1ms, [&more, &p] { more(p); });
+    };
     g.hosts[0]->respond = [&](ScriptedHost::Peer& p, const std::string&) {
         p.stream.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) + "\r\n\r\n");
-        auto more = std::make_shared<std::function<void()>>();
-        *more = [&g, &p, &written, more, size] {
-            if (p.stream.closed() || written >= size) return;
-            if (p.stream.queued() == 0) p.stream.write(std::string(1 << 20, 'x')), written += 1 << 20;
-            g.loop.after(1ms, *more);
-        };
-        (*more)();
+        more(p);
     };
     auto c = g.connect();
     c->stream.read(false);
@@ -207,14 +206,14 @@
     ASSERT_TRUE(g.run([&] { return held; }));
     g.describe(
         "openapi: 3.1.0\nx-silverreach-class: read\nx-silverreach-units: 1\npaths: {/new: {get: {}}}\n");
-    EXPECT_TRUE(g.instance->reload());
+    EXPECT_TRUE(g.reload());
     g.run([&] { return c->over(); });
     EXPECT_EQ(status(c->got), 200) << "in hand, it ends under the one it began with";
     EXPECT_EQ(status(g.talk(TestGateway::get("/a"))), 404);
     EXPECT_EQ(status(g.talk(TestGateway::get("/new"))), 200);
     g.describe(
         "openapi: 3.1.0\nx-silverreach-class: unknown\nx-silverreach-units: 1\npaths: {/worse: {get: {}}}\n");
-    EXPECT_FALSE(g.instance->reload());
+    EXPECT_FALSE(g.reload());
     const std::string again = g.talk(TestGateway::get("/new"));
     EXPECT_EQ(status(again), 200) << again;
     EXPECT_EQ(status(g.talk(TestGateway::get("/worse"))), 404);
--- a/tests/gateway/rig.h
+++ b/tests/gateway/rig.h
@@ -156,6 +156,12 @@
         loop.run();
         return held;
     }
+    bool reload() {
+        bool over = false, good = false;
+        instance->reload([&](bool g) { over = true, good = g; });
+        run([&] { return over; });
+        return good;
+    }
     std::unique_ptr<Client> connect() { return std::make_unique<Client>(loop, instance->port()); }
     // All that comes back until the gateway closes, or `marks` of "HTTP/1.1" have come with their bodies at
     // rest.
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -87,6 +87,10 @@
     EXPECT_FALSE(sound_traceparent("ff"));
 }
 
+TEST(Head, DatesAreWrittenAsTheSpecificationHasThem) {
+    EXPECT_EQ(date_text(784111777), "Sun, 06 Nov 1994 08:49:37 GMT");
+}
+
 TEST(Head, HopByHopFieldsAreThoseNamedAndThoseAlways) {
     const Fields fields = {{"Connection", "close, X-Mine"}, {"Connection", "keep-alive"}};
     const auto words = connection_words(fields);
