Keys: a registry of accounts, plans and keys, its log, and the keys commands

A registry without I/O says what a key is worth at a moment; keys are kept as hashes under the registry's secret, with a public id and a check part. Changes go to a log with checksums; a mark of two slots tells what was acknowledged, so a torn tail is cut off and damage below the mark is refused.

13 tests: a property test against a simple model, every cut and every flipped byte of a log, a kill before, within and after each write and sync, a disk that fills. The kills found two faults: a half-written secret and a half-written first mark left a folder that could not be opened; making a registry now ends with the log's first bytes and is begun anew until then.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -9,6 +9,7 @@
 #include <iterator>
 
 #include "cli/instance.h"
+#include "cli/keys.h"
 #include "drill/drill.h"
 
 namespace silverreach::cli {
@@ -156,6 +157,7 @@
     listing->add_option("--config", config_path, "Classes and policy from this configuration");
     listing->callback([&] { code = routes(path, config_path); });
 
+    add_key_commands(app, code);
     drill::add_commands(app, code);
 
     try {
--- /dev/null
+++ b/tests/accounts/accounts_test.cpp
@@ -0,0 +1,339 @@
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+#include <sodium.h>
+#include <stdlib.h>
+#include <sys/resource.h>
+
+#include <algorithm>
+
+#include "accounts/journal.h"
+#include "registry/store.h"
+
+using namespace silverreach::accounts;
+using silverreach::registry::Disk;
+using silverreach::registry::Store;
+
+namespace {
+constexpr Wall second(1000), hour(3'600'000);
+const Wall t0(1'800'000'000'000);
+
+std::string key_text(std::uint8_t n) {
+    Bytes32 random{};
+    random.fill(n);
+    random[0] = static_cast<std::uint8_t>(n * 7);
+    return make_key(random);
+}
+std::string id_of(const std::string& text) { return std::string(look_at(text).id); }
+
+struct Book {
+    Registry r;
+    Wall at = t0;
+    explicit Book(Wall skew = Wall(0)) : r(Pepper{1, 2, 3}, skew) {}
+    std::string make(Deed d) { return r.apply({r.version() + 1, at, std::move(d)}); }
+    std::string issue(std::uint8_t n, const std::string& account, Wall start = t0, Wall cutoff = never) {
+        const std::string text = key_text(n);
+        EXPECT_EQ(make(IssueKey{id_of(text), account, hash_of(r.pepper(), text), start, cutoff}), "");
+        return text;
+    }
+    std::string rotate(const std::string& old, std::uint8_t n, Wall overlap) {
+        const std::string text = key_text(n);
+        EXPECT_EQ(make(RotateKey{id_of(old), id_of(text), hash_of(r.pepper(), text), overlap}), "");
+        return text;
+    }
+    Verdict worth(const std::string& text, Wall now) { return r.look_up(text, now).verdict; }
+};
+Book book(Wall skew = Wall(0)) {
+    Book b(skew);
+    EXPECT_EQ(b.make(AddPlan{"basic"}), "");
+    EXPECT_EQ(b.make(AddPlan{"gold"}), "");
+    EXPECT_EQ(b.make(PutAccount{"birds", "basic"}), "");
+    EXPECT_EQ(b.make(PutAccount{"rival", "gold"}), "");
+    return b;
+}
+}  // namespace
+
+TEST(Key, MistypedIsToldFromUnknownAndMalformed) {
+    Book b = book();
+    const std::string text = b.issue(1, "birds");
+    EXPECT_EQ(text.size(), key_length);
+    EXPECT_EQ(b.worth(text, t0), Verdict::served);
+    EXPECT_EQ(b.worth(key_text(9), t0), Verdict::unknown);
+    int mistyped = 0;
+    for (std::size_t i = 4; i < text.size(); ++i) {
+        std::string wrong = text;
+        wrong[i] = wrong[i] == '7' ? '8' : '7';
+        if (wrong == text || i == 4 + id_length) continue;
+        EXPECT_NE(b.worth(wrong, t0), Verdict::served);
+        mistyped += b.worth(wrong, t0) == Verdict::mistyped;
+    }
+    EXPECT_GE(mistyped, 45) << "twenty bits of check: one in a million passes";
+    for (const std::string& bad :
+         {std::string(), std::string("srk_"), text + "x", text.substr(1), std::string(100'000, 'a'),
+          std::string("srk_\xc3\xa9") + text.substr(6), [&] {
+              auto u = text;
+              u[6] = 'U';
+              return u;
+          }()})
+        EXPECT_EQ(b.worth(bad, t0), Verdict::malformed);
+}
+
+TEST(Registry, RotationOverlapsAndThenCutsOff) {
+    Book b = book();
+    const std::string first = b.issue(1, "birds");
+    b.at = t0 + hour;
+    const std::string second_key = b.rotate(first, 2, hour);
+    EXPECT_EQ(b.worth(first, t0 + hour), Verdict::served);
+    EXPECT_EQ(b.worth(second_key, t0 + hour), Verdict::served);
+    b.at = t0 + hour + hour / 2;  // again within the overlap
+    const std::string third = b.rotate(second_key, 3, hour);
+    for (const std::string& key : {first, second_key, third}) EXPECT_EQ(b.worth(key, b.at), Verdict::served);
+    EXPECT_EQ(b.worth(first, t0 + 2 * hour - Wall(1)), Verdict::served);
+    EXPECT_EQ(b.worth(first, t0 + 2 * hour), Verdict::cut_off);
+    EXPECT_EQ(b.worth(second_key, t0 + 2 * hour), Verdict::served);
+    EXPECT_EQ(b.worth(second_key, t0 + 3 * hour), Verdict::cut_off);
+    EXPECT_EQ(b.worth(third, t0 + 100 * hour), Verdict::served);
+    EXPECT_NE(b.make(RotateKey{id_of(first), "aaaaaaaaaa", {}, hour}), "") << "it has ended";
+}
+
+TEST(Registry, ARotationNeverPutsAnEndOff) {
+    Book b = book();
+    const std::string text = b.issue(1, "birds", t0, t0 + hour);
+    const std::string next = b.rotate(text, 2, 10 * hour);
+    EXPECT_EQ(b.worth(text, t0 + hour), Verdict::cut_off);
+    EXPECT_EQ(b.worth(next, t0 + hour), Verdict::cut_off)
+        << "the follower lasts as long as its forerunner was to";
+}
+
+TEST(Registry, RevokedIsNeverServedAgainWhateverTheClockDoes) {
+    Book b = book(5 * second);
+    const std::string text = b.issue(1, "birds");
+    EXPECT_EQ(b.make(RevokeKey{id_of(text), t0 + 60 * second, Cause::leaked}), "");
+    EXPECT_EQ(b.worth(text, t0), Verdict::served);
+    EXPECT_EQ(b.worth(text, t0 + 55 * second), Verdict::cut_off) << "a clock that is 5 s behind";
+    EXPECT_EQ(b.worth(text, t0), Verdict::cut_off) << "a step back is not followed";
+    EXPECT_NE(b.make(RevokeKey{id_of(text), t0 + 600 * second, Cause::asked}), "") << "an end is not put off";
+    EXPECT_EQ(b.r.keys().at(id_of(text)).cause, Cause::leaked);
+}
+
+TEST(Registry, KeysOfOneAccountAndOfMergedOnesCountForOne) {
+    Book b = book();
+    const std::string a = b.issue(1, "birds"), c = b.issue(2, "birds"), d = b.issue(3, "rival");
+    EXPECT_EQ(b.r.look_up(a, t0).account, b.r.look_up(c, t0).account);
+    EXPECT_EQ(b.make(MergeAccounts{"rival", "birds"}), "");
+    EXPECT_EQ(b.r.look_up(d, t0).account, "birds");
+    EXPECT_EQ(b.r.look_up(d, t0).plan, "basic");
+    EXPECT_NE(b.make(MergeAccounts{"birds", "rival"}), "") << "no circle";
+    EXPECT_NE(b.make(MergeAccounts{"birds", "birds"}), "");
+    EXPECT_NE(b.make(PutAccount{"rival", "gold"}), "");
+}
+
+TEST(Registry, APlanInUseGoesOverToAnother) {
+    Book b = book();
+    const std::string text = b.issue(1, "birds");
+    EXPECT_NE(b.make(RemovePlan{"basic", ""}), "");
+    EXPECT_NE(b.make(RemovePlan{"basic", "basic"}), "");
+    EXPECT_EQ(b.make(RemovePlan{"basic", "gold"}), "");
+    EXPECT_EQ(b.r.look_up(text, t0).plan, "gold");
+}
+
+TEST(Registry, ChangesOutOfTurnAreRefusedWhole) {
+    Book b = book();
+    const auto version = b.r.version();
+    EXPECT_NE(b.r.apply({version, t0, AddPlan{"x"}}), "");
+    EXPECT_NE(b.r.apply({version + 2, t0, AddPlan{"x"}}), "");
+    EXPECT_NE(b.make(AddPlan{"a b"}), "");
+    EXPECT_NE(b.make(AddPlan{std::string(300, 'x')}), "");
+    EXPECT_EQ(b.r.version(), version);
+    EXPECT_EQ(b.r.plans().size(), 2u);
+}
+
+// The registry against a model so simple that it can be read off: every key with its own two moments.
+TEST(Registry, AgreesWithASimpleModel) {
+    struct Moments {
+        std::string text;
+        Wall start, end;
+        bool rotated = false;
+    };
+    const bool good = rc::check("what is served", [] {
+        Book b = book();
+        std::vector<Moments> model;
+        std::uint8_t next = 1;
+        for (int step = 0; step < 30; ++step) {
+            b.at += Wall(*rc::gen::inRange<std::int64_t>(0, 5000));
+            const int what = *rc::gen::inRange(0, 4);
+            const auto pick = [&]() -> Moments* {
+                return model.empty() ? nullptr : &model[*rc::gen::inRange<std::size_t>(0, model.size())];
+            };
+            const Wall span(*rc::gen::inRange<std::int64_t>(1, 8000));
+            if (what == 0 || model.empty()) {
+                const std::string text = b.issue(next++, "birds", b.at, b.at + span);
+                model.push_back({text, b.at, b.at + span});
+            } else if (what == 1) {
+                Moments* m = pick();
+                const std::string text = key_text(next++);
+                const bool may = m->end > b.at && !m->rotated;
+                const std::string why =
+                    b.make(RotateKey{id_of(m->text), id_of(text), hash_of(b.r.pepper(), text), span});
+                RC_ASSERT(why.empty() == may);
+                if (!may) continue;
+                const Wall end = m->end;
+                m->end = std::min(m->end, b.at + span), m->rotated = true;
+                model.push_back({text, b.at, end});
+            } else if (what == 2) {
+                Moments* m = pick();
+                const Wall end = b.at + span;
+                const bool may = m->end > end;
+                RC_ASSERT(b.make(RevokeKey{id_of(m->text), end, Cause::asked}).empty() == may);
+                if (may) m->end = end;
+            } else {
+                for (const Moments& m : model)
+                    RC_ASSERT((b.worth(m.text, b.at) == Verdict::served) ==
+                              (m.start <= b.at && b.at < m.end));
+            }
+        }
+    });
+    EXPECT_TRUE(good);
+}
+
+TEST(Journal, ChangesComeBackAsTheyWereAndGarbageDoesNot) {
+    const std::vector<Deed> deeds = {AddPlan{"p"},
+                                     RemovePlan{"p", "q"},
+                                     PutAccount{"a", "p"},
+                                     MergeAccounts{"a", "b"},
+                                     IssueKey{"0123456789", "a", {1, 2}, t0, never},
+                                     RotateKey{"0123456789", "abcdefghjk", {3}, hour},
+                                     RevokeKey{"0123456789", t0, Cause::leaked}};
+    for (const Deed& deed : deeds) {
+        const std::string bytes = encode({7, t0, deed});
+        const auto back = decode(bytes);
+        ASSERT_TRUE(back);
+        EXPECT_EQ(encode(*back), bytes);
+        for (std::size_t cut = 0; cut < bytes.size(); ++cut) EXPECT_FALSE(decode(bytes.substr(0, cut)));
+        EXPECT_FALSE(decode(bytes + "x"));
+    }
+}
+
+TEST(Journal, ATornTailIsCutOffAndDamageBelowTheMarkIsRefused) {
+    std::string log(log_magic);
+    std::vector<std::size_t> ends;
+    for (int i = 0; i < 4; ++i) {
+        log += record_of({static_cast<std::uint64_t>(i + 1), t0, AddPlan{"plan" + std::to_string(i)}});
+        ends.push_back(log.size());
+    }
+    for (std::size_t acknowledged = 0; acknowledged <= 4; ++acknowledged) {
+        const std::size_t upto = acknowledged ? ends[acknowledged - 1] : 0;
+        const std::string mark = slot_of({acknowledged, upto});
+        for (std::size_t cut = 0; cut <= log.size(); ++cut) {
+            const Recovered r = recover(log.substr(0, cut), mark);
+            if (cut < upto) EXPECT_FALSE(r.problem.empty()) << cut;
+            else EXPECT_GE(r.changes.size(), acknowledged) << cut;
+            EXPECT_LE(r.keep, cut);
+        }
+        for (std::size_t at = 0; at < log.size(); ++at) {
+            std::string bad = log;
+            bad[at] = static_cast<char>(bad[at] ^ 0x20);
+            const Recovered r = recover(bad, mark);
+            if (at < upto || at < log_magic.size()) EXPECT_FALSE(r.problem.empty()) << at;
+            else EXPECT_GE(r.changes.size(), acknowledged);
+        }
+    }
+}
+
+namespace {
+// Stops the writer at one of its calls, before it, half way through, or after it, as a kill would.
+struct Killed {};
+struct FaultyDisk : Disk {
+    int calls = 0, kill_at = -1, part = 0;  // part: 0 nothing of the write is done, 1 half, 2 all
+    int full_at = -1;
+    bool write(int fd, std::uint64_t at, std::string_view bytes) override {
+        const int call = calls++;
+        if (call == full_at)
+            return Disk::write(fd, at, bytes.substr(0, bytes.size() / 2)), errno = ENOSPC, false;
+        if (call != kill_at) return Disk::write(fd, at, bytes);
+        Disk::write(fd, at, bytes.substr(0, bytes.size() * static_cast<std::size_t>(part) / 2));
+        throw Killed();
+    }
+    bool sync(int fd) override {
+        if (calls++ == kill_at) throw Killed();
+        return Disk::sync(fd);
+    }
+};
+struct Folder {
+    std::string name = "/tmp/silverreach-registry-XXXXXX";
+    Folder() { mkdtemp(name.data()); }
+    ~Folder() { std::system(("rm -rf '" + name + "'").c_str()); }
+};
+}  // namespace
+
+TEST(Store, AKillAtEachWritePointLosesNothingAcknowledged) {
+    int points = 0;
+    for (int kill_at = 0; kill_at < 200; ++kill_at)
+        for (int part = 0; part < 3; ++part) {
+            Folder f;
+            std::vector<std::string> acknowledged;
+            std::string tried;
+            bool killed = false;
+            {
+                FaultyDisk disk;
+                disk.kill_at = kill_at, disk.part = part;
+                try {
+                    Store store(f.name, Store::Mode::write, true, disk);
+                    for (int i = 0; i < 4; ++i) {
+                        tried = "plan" + std::to_string(i);
+                        ASSERT_EQ(store.change(AddPlan{tried}, t0), "");
+                        acknowledged.push_back(tried);
+                    }
+                } catch (const Killed&) {
+                    killed = true;
+                }
+            }
+            points += killed;
+            Disk disk;
+            Store again(f.name, Store::Mode::write, true, disk);
+            for (const std::string& plan : acknowledged)
+                EXPECT_TRUE(again.registry().plans().count(plan)) << kill_at << " " << plan;
+            EXPECT_LE(again.registry().plans().size(), acknowledged.size() + 1)
+                << "at most what was under way";
+            EXPECT_EQ(again.change(AddPlan{"after"}, t0), "");
+            if (!killed) {
+                EXPECT_GE(points, 3 * 16) << "the writes and syncs of four changes, and of the beginning";
+                return;
+            }
+        }
+    FAIL() << "never ran to its end";
+}
+
+TEST(Store, AFullDiskMakesNoChangeAndLosesNone) {
+    for (int full_at = 6; full_at < 22; ++full_at) {
+        Folder f;
+        std::vector<std::string> acknowledged;
+        {
+            FaultyDisk disk;
+            disk.full_at = full_at;
+            Store store(f.name, Store::Mode::write, true, disk);
+            for (int i = 0; i < 4; ++i) {
+                const std::string plan = "plan" + std::to_string(i);
+                if (store.change(AddPlan{plan}, t0).empty()) acknowledged.push_back(plan);
+            }
+            EXPECT_LT(acknowledged.size(), 5u);
+        }
+        Disk disk;
+        Store again(f.name, Store::Mode::write, false, disk);
+        for (const std::string& plan : acknowledged) EXPECT_TRUE(again.registry().plans().count(plan));
+    }
+}
+
+TEST(Store, TwoWritersAtOnceAreRefusedAndReadersAreNot) {
+    Folder f;
+    Disk disk;
+    Store first(f.name, Store::Mode::write, true, disk);
+    EXPECT_EQ(first.change(AddPlan{"basic"}, t0), "");
+    try {
+        Store second(f.name, Store::Mode::write, true, disk);
+        FAIL();
+    } catch (const std::runtime_error& error) {
+        EXPECT_NE(std::string(error.what()).find("another writer"), std::string::npos);
+    }
+    Store reader(f.name, Store::Mode::read, false, disk);
+    EXPECT_EQ(reader.registry().plans().size(), 1u);
+}
