Keys: the running gateway follows the registry

Keys could be rotated in a folder that nobody read. Fronts now ask an AccountBook; the registry's side of it follows the folder on a thread, takes what is acknowledged, never an older version, and serves no plan that the instance does not know. The configuration's own accounts stay as the other kind of book.

4 tests on sockets: rotation and revocation reach the running gateway, three keys of two merged accounts share one burst of two, an older or damaged registry changes nothing.

--- a/src/accounts/journal.cpp
+++ b/src/accounts/journal.cpp
@@ -155,7 +155,7 @@
     return best;
 }
 
-Recovered recover(std::string_view log, std::string_view mark_bytes) {
+Recovered recover(std::string_view log, std::string_view mark_bytes, bool acknowledged_only) {
     Recovered out;
     const auto mark = read_mark(mark_bytes);
     // The mark is whole before the log's first bytes are written, and one of its slots is at any time after
@@ -176,7 +176,7 @@
     if (out.mark.acknowledged > log.size())
         return refuse(log.size(), "the log is shorter than what was acknowledged"), out;
     std::size_t at = log_magic.size();
-    while (at < log.size()) {
+    while (at < log.size() && !(acknowledged_only && at >= out.mark.acknowledged)) {
         const std::string_view rest = log.substr(at);
         Reader r(rest);
         const std::uint64_t size = rest.size() >= 4 ? r.number(4) : 0,
--- a/src/accounts/journal.h
+++ b/src/accounts/journal.h
@@ -41,6 +41,7 @@
     std::size_t keep = 0;  // bytes of the log that stand; the rest is to be cut off
     Mark mark;
 };
-Recovered recover(std::string_view log, std::string_view mark);
+// `acknowledged_only`: for readers beside a writer, who may yet take back what is beyond the mark.
+Recovered recover(std::string_view log, std::string_view mark, bool acknowledged_only = false);
 
 }  // namespace silverreach::accounts
--- a/src/accounts/registry.h
+++ b/src/accounts/registry.h
@@ -4,6 +4,7 @@
 // the same order give the same registry everywhere.
 #pragma once
 
+#include <algorithm>
 #include <chrono>
 #include <map>
 #include <optional>
@@ -94,6 +95,11 @@
     // not followed below the latest moment seen.
     Served look_up(std::string_view text, Wall now);
 
+    // Moments before this one are not believed any more.
+    void not_before(Wall at) { latest_ = std::max(latest_, at); }
+    Wall latest() const { return latest_; }
+    void set_skew(Wall skew) { skew_ = skew; }
+
     std::uint64_t version() const { return version_; }
     const std::map<std::string, Account>& accounts() const { return accounts_; }
     const std::map<std::string, std::uint64_t>& plans() const {
--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -39,7 +39,6 @@
       config_(config),
       folder_(std::move(folder)),
       log_(log),
-      accounts_(config),
       timers_(loop, [this](std::uint64_t token) { core_->timer_fired(loop_.now(), {token}); }),
       background_(loop) {
     std::vector<openapi::Problem> problems;
@@ -49,6 +48,20 @@
         for (const auto& p : problems) all += (all.empty() ? "" : "\n") + openapi::to_string(p);
         throw std::runtime_error(all);
     }
+    if (config.has_registry()) {
+        const std::string& name = config.registry();
+        registry::Book::Hooks hooks;
+        hooks.taken = [this](std::uint64_t version) {
+            log_.write(log::Level::warning, "registry", {{"version", whole(version)}});
+        };
+        hooks.kept = [this](const std::string& why) {
+            log_.write(log::Level::error, "registry_kept", {{"why", why}});
+        };
+        accounts_ = std::make_unique<registry::Book>(
+            loop, config, name.starts_with('/') ? name : folder_ + "/" + name, std::move(hooks));
+    } else {
+        accounts_ = std::make_unique<config::Accounts>(config);
+    }
     const std::uint64_t seed = seed_of(config);
     core_ = std::make_unique<core::Core>(config::settings_of(config), config.peers().account_spread(), seed,
                                          loop.now(), static_cast<core::Outside&>(*this));
@@ -73,7 +86,7 @@
     list.unreachable = [this](const std::string& why) {
         log_.write(log::Level::warning, "hosts_unreachable", {{"why", why}});
     };
-    front_ = std::make_unique<fronts::http::Front>(loop, config, accounts_, *core_, seed ^ 0x5bd1e995,
+    front_ = std::make_unique<fronts::http::Front>(loop, config, *accounts_, *core_, seed ^ 0x5bd1e995,
                                                    std::move(hooks));
     roster_ = std::make_unique<roster::Roster>(loop, config, folder_, std::move(list));
 }
@@ -181,6 +194,7 @@
                 {"method", r.method},
                 {"path", r.path},
                 {"account", r.account},
+                {"key", r.key_id},
                 {"class", r.request_class},
                 {"units", r.units},
                 {"took_us", static_cast<std::int64_t>(r.took.count())},
--- a/src/cli/instance.h
+++ b/src/cli/instance.h
@@ -13,6 +13,7 @@
 #include "fronts/http/front.h"
 #include "log/log.h"
 #include "peers/peers.h"
+#include "registry/book.h"
 #include "roster/roster.h"
 #include "upstream/upstream.h"
 
@@ -64,7 +65,7 @@
     const config::Config& config_;
     std::string folder_;
     log::Log& log_;
-    config::Accounts accounts_;
+    std::unique_ptr<config::AccountBook> accounts_;
     std::shared_ptr<const openapi::Description> description_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     event::TokenTimers timers_;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -146,6 +146,9 @@
             c.problem(tree, p, "hard_rate", -1, path + "hard_burst",
                       "a hard_burst above 0 beside a hard_rate");
     }
+    if (config.has_registry() && config.account_size() > 0)
+        c.problem(c.root(), config, "account", 0, "account", "either accounts here or a registry");
+    c.at_least<std::int64_t>(c.root(), config, "clock_skew_ms", "", config.clock_skew_ms(), 0);
     if (config.api().has_anonymous_plan() && !names.count(config.api().anonymous_plan()))
         c.problem(Checker::nested(c.root(), config, "api", -1), config.api(), "anonymous_plan", -1,
                   "api.anonymous_plan", fmt::format("one of {}", fmt::join(names, ", ")));
@@ -305,16 +308,16 @@
     return policy;
 }
 
-Accounts::Accounts(const Config& config)
-    : anonymous_plan_(plan_index(config, config.api().anonymous_plan())) {
+Accounts::Accounts(const Config& config) {
     for (const auto& a : config.account()) {
-        accounts_.push_back({a.name(), plan_index(config, a.plan())});
+        accounts_.push_back({a.name(), plan_index(config, a.plan()), {}});
         for (const std::string& key : a.key()) by_key_.emplace(key, accounts_.size() - 1);
     }
 }
-const AccountRef* Accounts::by_key(std::string_view key) const {
+AccountBook::Found Accounts::by_key(std::string_view key) {
     const auto it = by_key_.find(std::string(key));
-    return it == by_key_.end() ? nullptr : &accounts_[it->second];
+    if (it == by_key_.end()) return {std::nullopt, "no account has this key"};
+    return {accounts_[it->second], {}};
 }
 
 }  // namespace silverreach::config
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -36,21 +36,31 @@
 
 openapi::Policy policy_of(const Config& config);
 
-// The account behind a key: the one look-up that fronts use.
+// The account behind a key: the one look-up that fronts use, whoever keeps the keys.
 struct AccountRef {
     std::string name;
     int plan = -1;
+    std::string key_id;  // public; for logs
 };
-class Accounts {
+class AccountBook {
+  public:
+    virtual ~AccountBook() = default;
+    struct Found {
+        std::optional<AccountRef> account;
+        std::string why;  // where there is none; never any of the key's text
+    };
+    virtual Found by_key(std::string_view key) = 0;
+};
+
+// The accounts that stand in the configuration itself.
+class Accounts : public AccountBook {
   public:
     explicit Accounts(const Config& config);
-    const AccountRef* by_key(std::string_view key) const;  // nullptr: unknown
-    int anonymous_plan() const { return anonymous_plan_; }
+    Found by_key(std::string_view key) override;
 
   private:
     std::vector<AccountRef> accounts_;
     std::unordered_map<std::string, std::size_t> by_key_;
-    int anonymous_plan_ = -1;
 };
 
 }  // namespace silverreach::config
--- a/src/fronts/http/connection.cpp
+++ b/src/fronts/http/connection.cpp
@@ -64,8 +64,11 @@
     Request& r = *request_;
     r.begun = since_;
     r.head = std::move(head);
-    r.side = {r.head.minor, r.head.method == "HEAD", r.head.keep_alive,
-              wire::lists(r.head.fields, "TE", "trailers"), {}};
+    r.side = {r.head.minor,
+              r.head.method == "HEAD",
+              r.head.keep_alive,
+              wire::lists(r.head.fields, "TE", "trailers"),
+              {}};
     r.identity = identity_of(r.head, front_.random_);
     r.description = front_.hooks_.description();
     const auto refuse = [&](const Refusal& refusal, std::string_view reason) {
@@ -129,9 +132,9 @@
     r.out->head = head_for_host(r.head, r.resolved.path, r.identity, client_, front_.via_, r.body.size());
     r.out->body = std::move(r.body);
     r.out->head_method = r.side.to_head;
-    const config::AccountRef* account = r.resolved.account;
+    const auto& account = r.resolved.account;
     const core::Try t{account ? account->name : anonymous_account(client_),
-                      account ? account->plan : front_.accounts_.anonymous_plan(), r.resolved.request_class,
+                      account ? account->plan : front_.anonymous_plan_, r.resolved.request_class,
                       r.resolved.units, r.resolved.deadline - (now - r.begun)};
     r.id = front_.core_.next_id();
     front_.by_id_[r.id] = this;
@@ -305,6 +308,7 @@
     record.method = r.head.method;
     record.path = r.head.target.substr(0, r.head.target.find('?'));
     record.account = r.resolved.account ? r.resolved.account->name : "";
+    record.key_id = r.resolved.account ? r.resolved.account->key_id : "";
     record.request_class = r.resolved.route ? r.resolved.route->request_class : "";
     record.reason = reason, record.client = client_;
     record.units = r.resolved.units, record.status = status;
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -8,11 +8,11 @@
 
 using namespace std::chrono_literals;
 
-Front::Front(event::Loop& loop, const config::Config& config, const config::Accounts& accounts,
-             core::Core& core, std::uint64_t seed, Hooks hooks)
+Front::Front(event::Loop& loop, const config::Config& config, config::AccountBook& accounts, core::Core& core,
+             std::uint64_t seed, Hooks hooks)
     : loop_(loop),
       config_(config),
-      accounts_(accounts),
+      anonymous_plan_(config::plan_index(config, config.api().anonymous_plan())),
       core_(core),
       hooks_(std::move(hooks)),
       resolver_(config, accounts),
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -19,7 +19,7 @@
 
 // What a log line of one request says.
 struct Record {
-    std::string request_id, method, path, account, request_class, reason, client;
+    std::string request_id, method, path, account, key_id, request_class, reason, client;
     double units = 0;
     int status = 0;  // 0: none was sent
     Micros took{0};
@@ -33,7 +33,7 @@
         std::function<bool(const config::AccountRef&)> served_here;  // this instance is of the account's set
     };
     // All but `hooks` must outlive the front. Throws std::runtime_error where it cannot listen.
-    Front(event::Loop& loop, const config::Config& config, const config::Accounts& accounts, core::Core& core,
+    Front(event::Loop& loop, const config::Config& config, config::AccountBook& accounts, core::Core& core,
           std::uint64_t seed, Hooks hooks);
     ~Front();
 
@@ -61,7 +61,7 @@
 
     event::Loop& loop_;
     const config::Config& config_;
-    const config::Accounts& accounts_;
+    int anonymous_plan_;
     core::Core& core_;
     Hooks hooks_;
     Resolver resolver_;
--- a/src/fronts/http/resolve.cpp
+++ b/src/fronts/http/resolve.cpp
@@ -180,8 +180,9 @@
     if (keys.empty()) return Refusal{401, "Key missing", "the operation needs an account's key", {}, true};
     if (keys.size() > 1)
         return Refusal{401, "More than one key", "the request carries different keys", {}, true};
-    into.account = accounts_.by_key(*keys.begin());
-    if (!into.account) return Refusal{401, "Unknown key", "no account has this key", {}, true};
+    auto found = accounts_.by_key(*keys.begin());
+    if (!found.account) return Refusal{401, "Key not served", found.why, {}, true};
+    into.account = std::move(found.account);
     return std::nullopt;
 }
 
--- a/src/fronts/http/resolve.h
+++ b/src/fronts/http/resolve.h
@@ -24,7 +24,7 @@
 
 struct Resolved {
     const openapi::Route* route = nullptr;
-    const config::AccountRef* account = nullptr;  // nullptr: the anonymous one
+    std::optional<config::AccountRef> account;  // none: the anonymous one
     int request_class = -1;
     double units = 1;
     Micros deadline{0};  // the class's, shortened by the request
@@ -37,7 +37,7 @@
 
 class Resolver {
   public:
-    Resolver(const config::Config& config, const config::Accounts& accounts)
+    Resolver(const config::Config& config, config::AccountBook& accounts)
         : config_(config), accounts_(accounts) {}
     // `description` must outlive what is resolved.
     std::optional<Refusal> resolve(const wire::Head& head, const openapi::Description& description,
@@ -48,7 +48,7 @@
     std::optional<Refusal> find_units(const wire::Head& head, std::string_view query,
                                       const openapi::RouteTable::Found& found, Resolved& into) const;
     const config::Config& config_;
-    const config::Accounts& accounts_;
+    config::AccountBook& accounts_;
 };
 
 // Of a target in origin or absolute form; nothing where it is neither.
--- a/src/registry/store.cpp
+++ b/src/registry/store.cpp
@@ -62,7 +62,8 @@
     if (writes) {
         lock_ = event::Fd(::open((folder + "/lock").c_str(), O_RDWR | O_CREAT | O_CLOEXEC, 0600));
         if (!lock_ && errno == ENOENT)
-            throw std::runtime_error(folder + ": no registry here; 'silverreach keys plan NAME --make' makes one");
+            throw std::runtime_error(folder +
+                                     ": no registry here; 'silverreach keys plan NAME --make' makes one");
         if (!lock_) fail(folder + "/lock");
         if (::flock(lock_.get(), LOCK_EX | LOCK_NB) != 0)
             throw std::runtime_error(folder + ": another writer has the registry; nothing was changed");
@@ -74,10 +75,12 @@
     event::Fd secret(::open((folder + "/secret").c_str(), flags, 0600));
     if (!secret) fail(folder + "/secret");
     std::string pepper = read_all(secret.get(), folder + "/secret");
+    // The mark first: a writer beside a reader makes the log longer before it moves the mark.
+    std::string mark = read_all(mark_.get(), folder + "/mark");
     std::string log = read_all(log_.get(), folder + "/log");
     // The log's first bytes are the last step of making a registry; until they are whole nothing was
     // acknowledged, and the making is begun anew.
-    const auto marked = accounts::read_mark(read_all(mark_.get(), folder + "/mark"));
+    const auto marked = accounts::read_mark(mark);
     if (writes && log.size() < accounts::log_magic.size() && (!marked || marked->acknowledged == 0)) {
         const auto fresh = random_bytes();
         pepper.assign(reinterpret_cast<const char*>(fresh.data()), fresh.size());
@@ -87,7 +90,7 @@
         if (!disk_.write(log_.get(), 0, accounts::log_magic) || !disk_.sync(log_.get()))
             fail(folder + "/log");
         sync_folder(folder);
-        log = accounts::log_magic;
+        log = accounts::log_magic, mark = accounts::slot_of({});
     }
     accounts::Pepper key{};
     if (pepper.size() != key.size())
@@ -96,7 +99,7 @@
     std::memcpy(key.data(), pepper.data(), key.size());
     registry_ = std::make_unique<accounts::Registry>(key);
 
-    const auto recovered = accounts::recover(log, read_all(mark_.get(), folder + "/mark"));
+    const auto recovered = accounts::recover(log, mark, !writes);
     if (!recovered.problem.empty()) throw std::runtime_error(folder + "/log: " + recovered.problem);
     for (const auto& change : recovered.changes)
         if (const std::string why = registry_->apply(change); !why.empty())
--- /dev/null
+++ b/tests/gateway/keys_test.cpp
@@ -0,0 +1,121 @@
+// Keys from a registry that changes while the gateway runs.
+#include "registry/store.h"
+#include "rig.h"
+
+using namespace rig;
+using namespace silverreach::accounts;
+using silverreach::registry::Disk;
+using silverreach::registry::Store;
+
+namespace {
+Wall now() { return std::chrono::duration_cast<Wall>(std::chrono::system_clock::now().time_since_epoch()); }
+struct Keys {
+    std::string folder = "/tmp/silverreach-keys-XXXXXX";
+    Disk disk;
+    std::unique_ptr<Store> store;
+    Keys() {
+        mkdtemp(folder.data());
+        store = std::make_unique<Store>(folder, Store::Mode::write, true, disk);
+        make(AddPlan{"basic"});
+        make(AddPlan{"tiny"});
+        make(AddPlan{"unheard-of"});
+        make(PutAccount{"birds", "basic"});
+    }
+    ~Keys() { std::system(("rm -rf '" + folder + "'").c_str()); }
+    void make(const Deed& deed) { EXPECT_EQ(store->change(deed, now()), ""); }
+    std::string issue(const std::string& account) {
+        const std::string text = make_key(silverreach::registry::random_bytes());
+        make(IssueKey{std::string(look_at(text).id), account, hash_of(store->registry().pepper(), text),
+                      now() - Wall(10'000), never});
+        return text;
+    }
+    std::string rotate(const std::string& old, Wall overlap) {
+        const std::string text = make_key(silverreach::registry::random_bytes());
+        make(RotateKey{std::string(look_at(old).id), std::string(look_at(text).id),
+                       hash_of(store->registry().pepper(), text), overlap});
+        return text;
+    }
+    Options options() const {
+        Options o;
+        o.accounts = false;
+        o.more = "registry: \"" + folder + "\" clock_skew_ms: 0\n";
+        return o;
+    }
+};
+// Asks again and again, each time with the loop at rest in between.
+bool eventually(TestGateway& g, const std::function<bool()>& holds) {
+    for (int i = 0; i < 100; ++i) {
+        if (holds()) return true;
+        g.run([] { return false; }, 30ms);
+    }
+    return false;
+}
+std::string with(const std::string& key) { return TestGateway::get("/mine", "X-Key: " + key + "\r\n"); }
+}  // namespace
+
+TEST(Keys, RotationAndRevocationReachTheRunningGateway) {
+    Keys keys;
+    const std::string first = keys.issue("birds");
+    TestGateway g(keys.options());
+    EXPECT_EQ(status(g.talk(with(first))), 200);
+    const std::string second = keys.rotate(first, Wall(3'600'000));
+    ASSERT_TRUE(eventually(g, [&] { return status(g.talk(with(second))) == 200; }))
+        << "within a look of the folder";
+    EXPECT_EQ(status(g.talk(with(first))), 200) << "both work in the overlap";
+    keys.make(RevokeKey{std::string(look_at(first).id), now(), Cause::leaked});
+    ASSERT_TRUE(eventually(g, [&] { return status(g.talk(with(first))) == 401; }));
+    const std::string answer = g.talk(with(first));
+    EXPECT_TRUE(has(answer, "the key has ended"));
+    EXPECT_FALSE(has(answer, first.substr(14))) << "no word of the key in the answer";
+    EXPECT_EQ(status(g.talk(with(second))), 200);
+    const std::size_t received = g.requests();
+    std::string mistyped = second;
+    mistyped.back() = mistyped.back() == '0' ? '1' : '0';
+    EXPECT_TRUE(has(g.talk(with(mistyped)), "mistyped"));
+    EXPECT_TRUE(has(g.talk(with("k1")), "this is no key"));
+    EXPECT_EQ(status(g.talk(TestGateway::get("/mine?X-Key=" + second))), 401)
+        << "not where the description has it";
+    EXPECT_EQ(g.requests(), received);
+}
+
+TEST(Keys, AllKeysOfAnAccountCountAgainstOneTotal) {
+    Keys keys;
+    keys.make(PutAccount{"wrens", "tiny"});
+    keys.make(PutAccount{"rival", "tiny"});
+    keys.make(MergeAccounts{"rival", "wrens"});
+    const std::string a = keys.issue("wrens"), b = keys.issue("wrens"), c = keys.issue("rival");
+    TestGateway g(keys.options());
+    int served = 0;
+    for (int i = 0; i < 4; ++i)
+        for (const std::string& key : {a, b, c}) served += status(g.talk(with(key))) == 200;
+    EXPECT_GE(served, 1);
+    EXPECT_LE(served, 2) << "a burst of two for all of them together";
+}
+
+TEST(Keys, APlanThatThisInstanceDoesNotKnowServesNobody) {
+    Keys keys;
+    keys.make(PutAccount{"lost", "unheard-of"});
+    const std::string key = keys.issue("lost");
+    TestGateway g(keys.options());
+    EXPECT_EQ(status(g.talk(with(key))), 401);
+    EXPECT_EQ(g.requests(), 0u);
+}
+
+TEST(Keys, AnOlderOrDamagedRegistryLeavesTheOneInMemory) {
+    Keys keys;
+    const std::string key = keys.issue("birds");
+    TestGateway g(keys.options());
+    const auto copy = [&](const std::string& from, const std::string& to) {
+        std::system(("cp -p '" + keys.folder + "/" + from + "' '" + keys.folder + "/" + to + "'").c_str());
+    };
+    copy("log", "old-log"), copy("mark", "old-mark");
+    keys.make(RevokeKey{std::string(look_at(key).id), now(), Cause::leaked});
+    ASSERT_TRUE(eventually(g, [&] { return status(g.talk(with(key))) == 401; }));
+    copy("old-log", "log"), copy("old-mark", "mark");
+    g.run([] { return false; }, 300ms);
+    EXPECT_EQ(status(g.talk(with(key))), 401) << "an older one forgets no revocation";
+    std::ofstream(keys.folder + "/log") << "rubbish";
+    std::ofstream(keys.folder + "/mark") << "rubbish";
+    g.run([] { return false; }, 300ms);
+    EXPECT_EQ(status(g.talk(with(key))), 401);
+}
