A customer that comes with another plan goes over to it with what it holds

The module kept the plan that it first saw until the customer aged out, so an account that moved went on under its old quota.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -158,7 +158,8 @@
     RequestArrived ask;
     Customer* customer = nullptr;
     Micros deadline{0}, latest_start{0};
-    bool in_quota = true, admitted = false, sent = false, waiting = false, probing = false, maybe_ran = false;
+    double drawn = 0, reserved = 0;  // of the plain store and of the ceiling, not sent yet
+    bool in_quota = true, sent = false, waiting = false, probing = false, maybe_ran = false;
     int kind = 0, attempts = 0, out = 0, rounds = 0, probes_out = 0;  // kind: class and plan
     std::vector<Host*> pair;
     Micros last_sent{0}, first_maybe{0};
@@ -220,11 +221,22 @@
                 std::min(even_hard(c, p->hard_burst) - c.hard_level, dt * even_hard(c, p->hard_rate));
     }
 
+    // Another plan from now on: what is held goes over, cut to what the new one may hold, and nothing is added, so
+    // no move back and forth refills a store. Guards against a plan that changes under use; harms nobody for long,
+    // as the new rates count from here. The home's ledger follows with the next ask, by the same clamps.
+    void move(Customer& c, int plan) {
+        touch(c);
+        c.plan = plan;
+        c.level = std::min(c.level, s_.plans[plan].burst);
+        c.hard_level = std::min(c.hard_level, even_hard(c, s_.plans[plan].hard_burst));
+        c.dry_until = 0us;
+    }
     Customer& customer(const RequestArrived& r) {
         auto [it, fresh] = customers_.try_emplace(r.customer);
         Customer& c = it->second;
         // The ceiling's part counts from this start, from nothing: a former life may have spent it all.
         if (fresh) c.hash = name_hash(r.customer), c.plan = r.plan, c.touched = boot_;
+        else if (r.plan >= 0 && r.plan != c.plan) move(c, r.plan);
         c.set_size = std::max(c.set_size, std::clamp(r.set_size, 1, s_.instances));
         c.set_start = ((r.set_start % s_.instances) + s_.instances) % s_.instances;
         c.last_use = now_;
@@ -391,9 +403,8 @@
             if (now_ + wait > q.latest_start) return refuse(q, wait, RefuseReason::pressed);
             c.limiter.reserve(k, stable_s, warmup_s);
         }
-        q.admitted = true;
-        if (p && p->rate > 0 && q.in_quota) c.level -= k;
-        if (p && p->hard_rate > 0) c.hard_reserved += k;
+        if (p && p->rate > 0 && q.in_quota) c.level -= q.drawn = k;
+        if (p && p->hard_rate > 0) c.hard_reserved += q.reserved = k;
         if (wait <= 0us) return dispatch(q);
         timer(wait, q.ask.id, TimerKind::release);
     }
@@ -554,8 +565,9 @@
         const Plan* p = plan_of(c);
         if (!q.sent && p && p->hard_rate > 0) {
             touch(c);
-            c.hard_level -= q.ask.units, c.hard_reserved -= q.ask.units;
+            c.hard_level -= q.ask.units;
         }
+        c.hard_reserved -= std::exchange(q.reserved, 0);
         if (!q.sent) retry_earned_.add(1, now_, long_memory_s);
         q.sent = true;
         q.waiting = q.probing = false, q.rounds = 0;
@@ -611,10 +623,7 @@
     }
     void forget(Request& q) {
         Customer& c = *q.customer;
-        if (const Plan* p = plan_of(c); p && q.admitted && !q.sent) {  // gives its units back
-            if (q.in_quota && p->rate > 0) c.level += q.ask.units;
-            if (p->hard_rate > 0) c.hard_reserved -= q.ask.units;
-        }
+        if (!q.sent) c.level += q.drawn, c.hard_reserved -= q.reserved;  // gives its units back
         --c.requests;
         requests_.erase(q.ask.id);
     }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -618,3 +618,44 @@
     b.pass(3s);
     EXPECT_EQ(of<Refuse>(b.actions).size() + of<Fail>(b.actions).size(), 4u);
 }
+
+namespace {
+Settings two_plans() {
+    Settings s = one_gateway();
+    s.plans = {{"small", 1, 4, 0, 1, 0, 1, 0, 0}, {"big", 2, 40, 0, 1, 0, 1, 0, 0}, {"capped", 1000, 1000, 0, 1, 0, 1, 2, 4}};
+    return s;
+}
+}  // namespace
+
+TEST(PlanChange, NoMoveBackAndForthRefillsAStore) {
+    Bench b(two_plans());
+    RequestId id = 1;
+    const auto sends = [&](int plan) {
+        const auto sent = of<SendAttempt>(b.ask(id++, 1, 2s, plan));
+        for (const SendAttempt& a : sent) b.end(a.id, a.host, Outcome::good, 5ms);
+        return static_cast<int>(sent.size());
+    };
+    int sent = 0;
+    for (int i = 0; i < 40; ++i) sent += sends(i % 2);
+    EXPECT_GE(sent, 2);
+    EXPECT_LE(sent, 3) << "half of the small burst at the start, and what a part brings";
+    b.pass(5s);  // the big plan's rate fills ten; the customer is on it since the last request
+    sent = 0;
+    for (int i = 0; i < 40; ++i) sent += sends(1);
+    EXPECT_GE(sent, 8) << "nobody is locked out";
+    EXPECT_LE(sent, 11);
+}
+
+TEST(PlanChange, AMoveUnderACeilingHoldsItForWhatWasAdmittedBefore) {
+    Bench b(two_plans());
+    b.pass(100ms);
+    // Held: admitted on a plan without a ceiling while no host takes anything.
+    b.feed(HostsChanged{true, {}});
+    for (RequestId id = 1; id <= 2; ++id) b.ask(id, 1, 2s, 0);
+    b.ask(3, 1, 2s, 2);  // the move
+    b.feed(HostsChanged{true, {host("a"), host("b"), host("c"), host("d")}});
+    b.pass(20ms);
+    int sent = static_cast<int>(of<SendAttempt>(b.actions).size());
+    for (RequestId id = 10; id < 60; ++id) sent += static_cast<int>(of<SendAttempt>(b.ask(id, 1, 2s, 2)).size());
+    EXPECT_LE(sent, 2 + 4) << "the ceiling's burst beside what was held, which must not count below nothing";
+}
