A class that a host leaves unanswered goes to other hosts; the host keeps the rest

A probe of each attempt: from 36.4 to 45.5 s all 176 attempts that ended at the deadline were count-submits at the same three of eight hosts, which answered look-ups in 3 to 135 ms meanwhile. Each gateway put these hosts out whole 45 times (EJECT lines), so look-ups were refused for want of a host as well. At fault: check() in src/control.cpp took any long pause for the host's silence, and the shunned kinds knew only hosts that turn a kind away. Now silence counts only where nothing was answered since the attempt was sent; where others were, an overdue attempt is evidence against its class there, and after two in a row the class goes elsewhere for 20 s.

--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -130,11 +130,16 @@
     const auto f = front_->stats();
     rusage use{};
     getrusage(RUSAGE_SELF, &use);
+    const auto refused = [this](RefuseReason r) { return refused_[static_cast<std::size_t>(r)]; };
     const auto cpu = [](const timeval& t) { return std::int64_t{t.tv_sec} * 1000 + t.tv_usec / 1000; };
     log_.write(log::Level::info, "counts",
                {{"taken", whole(c.taken)},
                 {"served", whole(c.served)},
                 {"refused", whole(c.refused)},
+                {"refused_quota", whole(refused(RefuseReason::quota) + refused(RefuseReason::open))},
+                {"refused_pressed", whole(refused(RefuseReason::pressed))},
+                {"refused_no_host", whole(refused(RefuseReason::no_host))},
+                {"refused_no_answer", whole(refused(RefuseReason::no_answer))},
                 {"failed", whole(c.failed)},
                 {"left", whole(c.left)},
                 {"attempts", whole(c.attempts)},
@@ -186,7 +191,10 @@
 void Node::tell(int rank, const std::string& bytes) {
     if (peers_) peers_->send(rank, bytes);
 }
-void Node::finish(RequestId id, const core::Final& answer) { front_->finish(id, answer); }
+void Node::finish(RequestId id, const core::Final& answer) {
+    if (answer.refused) ++refused_[static_cast<std::size_t>(answer.refuse_reason)];
+    front_->finish(id, answer);
+}
 void Node::cut(RequestId) {}  // an answer is taken whole or not at all
 
 // ---- upstream_resp::Events -------------------------------------------------------------------------------
--- a/src/cli/node.h
+++ b/src/cli/node.h
@@ -2,6 +2,7 @@
 // platform's RESP2 towards clients and hosts, its discovery and its datagrams between instances.
 #pragma once
 
+#include <array>
 #include <memory>
 #include <string>
 
@@ -65,6 +66,7 @@
     std::unique_ptr<fronts::resp::Front> front_;
     std::unique_ptr<roster::Watch> watch_;
     bool draining_ = false;
+    std::array<std::uint64_t, 7> refused_{};  // by RefuseReason
 };
 
 // `silverreach node`; returns the exit code.
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -16,22 +16,19 @@
 using Actions = std::vector<Action>;
 
 // ---- tuned constants, each with its unit and reason ------------------------------------------------------
-constexpr double cold_factor = 3;   // SmoothWarmingUp's coldInterval / stableInterval, by the design
-constexpr double use_memory_s = 2;  // memory of recent demand
+constexpr double cold_factor = 3;  // SmoothWarmingUp's coldInterval / stableInterval, by the design
+constexpr double use_memory_s = 2, over_quota = 1.1;  // of recent demand; told demand: vain to wait for more
 constexpr double part_ahead_s = 0.5, start_part = 0.5;    // of demand that a part covers; of a burst at start
 constexpr double even_most = 0.5, even_members = 2;       // of a ceiling in even parts; gateways' worth of it
 constexpr double standing_most = 0.9, standing_room = 2;  // of a quota in standing parts; of the demand
 constexpr double store_holds = 0.5, store_owes = 0.25;    // of what is set aside for a standing part
-constexpr double over_quota = 1.1;  // told demand over the quota by which waiting for a part is in vain
 constexpr double period_least_s = 0.25, period_asks = 1.5;  // between asks; of the intake's share for each
-constexpr Micros part_life_least = 2s;  // until a standing part lapses, and so many periods:
-constexpr int part_lives = 4;
-constexpr int homes = 3, asks_most = 4;  // a customer's home and successors; asks for one request
-constexpr Micros answer_due = 150ms;     // an ask unanswered by then counts as lost
-constexpr double mail_share = 0.8, mail_at_once = 3;  // of an intake, by those who talk; messages
-constexpr std::size_t outbox_most = 200;              // messages kept for one peer; more are dropped
-constexpr int silent_after = 2;                       // asks lost in a row that make a peer count as silent
-constexpr Micros silent_for = 1s;                     // it is then passed over this long
+constexpr Micros part_life_least = 2s;                   // until a standing part lapses, and so many periods:
+constexpr int part_lives = 4, homes = 3, asks_most = 4;  // a customer's home and successors; asks for one
+constexpr Micros answer_due = 150ms;                     // an ask unanswered by then counts as lost
+constexpr double mail_share = 0.8, mail_at_once = 3;     // of an intake, by those who talk; messages
+constexpr int silent_after = 2, probe_rounds = 2;        // asks lost in a row: a peer is silent; pairs probed
+constexpr Micros silent_for = 1s;                        // it is then passed over this long
 constexpr Micros beat_period = 100ms, stall_after = 300ms;  // of a timer that tells own stalls
 constexpr Micros idle_after = 60s, sweep_period = 5s;  // idle customers age out; how often that is looked at
 constexpr double slow_part = 0.5, slow_weight = 0.04;  // slow, as part of the aim; its weight
@@ -47,21 +44,19 @@
 constexpr double limit_slow_part = 0.25;             // answer time as part of the aim that cuts the limit
 constexpr double silent_answers = 3.5;  // expected answers missing when silence is evidence (e^-3.5 = 3%)
 constexpr double check_earliest = 0.25, check_latest = 0.55;  // of the aim: silence is looked for
-constexpr double overdue_answers = 6;  // usual answer times after which a lone attempt is lost (e^-6 = 0.2%)
+constexpr double overdue_answers = 6;  // usual answer times after which one is lost (e^-6 = 0.2%)
 constexpr Micros shun_for = 20s;       // a host that turned one kind of request away is dear for it this long
-constexpr double shun_cost = 16;       // by this factor
 constexpr int eject_after = 3;         // failures in a row that eject a host; a reset tells of one connection
 constexpr Micros eject_first = 500ms, eject_most = 8s;  // first ejection, doubled with each further one
 constexpr double retry_share = 0.15, retry_floor = 5;   // further attempts earned by each first one, always
 constexpr double cold_caution = 0.4;     // of what fells it, were it to get the even share of a warm one
 constexpr Micros cold_chance_most = 5s;  // time since a cold host was last looked at that counts for its part
 constexpr double own_view = 2;  // attempts out by which the own view of a host's load outweighs the mean
-constexpr std::size_t sampled = 12, kept = 32;  // hosts looked at for a request, out of those used at all
-constexpr double known_answers = 10;            // answers of a host in the memory that spare a probe
+constexpr std::size_t sampled = 12, kept = 32, outbox_most = 200;  // hosts looked at, of those used; messages
+constexpr double known_answers = 10, shun_cost = 16;  // answers remembered that spare a probe; how dear
 constexpr Micros report_valid = 250ms;  // a host's own word is believed, or a failed probe leaves it alone
 constexpr Micros probe_due = 40ms, wait_again = 100ms;  // the better of two is waited for, a host looked for
 constexpr double window_least = 0.2, window_slack = 2;  // deviations of own attempts out that pass
-constexpr int probe_rounds = 2;                         // pairs of hosts probed for one request
 
 enum class TimerKind : std::uint64_t { deadline, release, check, expiry, part, probe, flush, beat };
 constexpr std::uint64_t timer_kinds = 8;
@@ -148,7 +143,8 @@
     int out = 0;              // own attempts out
     std::uint32_t place = 0;  // in this gateway's order
     double out_limit = limit_start;
-    std::map<int, Micros> shunned;  // by kind of request, until when
+    std::map<int, Micros> shunned;  // until when: kinds turned away; classes unanswered, as -1 - index
+    std::map<int, int> unanswered;  // by class, those far overdue since one was answered
     Micros last_answer{0}, blocked_until{0};
     Fading answers;       // seen here lately
     double answer_s = 0;  // mean answer time; 0: none seen
@@ -594,7 +590,7 @@
             if (i < kept) std::swap(order_[i], order_[i + random_() % (std::min(kept, order_.size()) - i)]);
             Host& h = *order_[i];
             if (h.entry.state != HostState::up || now_ < h.blocked_until || !in_group(q, h)) continue;
-            if (known(h) && held(h) >= limit(h)) continue;
+            if ((known(h) && held(h) >= limit(h)) || shuns(h, -1 - q.ask.request_class)) continue;
             ++seen;
             const bool cold = capacity_share(h) < 1 && warm_ > 0;
             if (cold && cold_turn(h, q.ask.units)) return {&h};
@@ -602,9 +598,7 @@
             double c = cost(h) * (0.95 + 0.1 * uniform());
             if (h.entry.zone != s_.zone) c *= 1 + 5 * s_.cross_zone_cost;
             if (h.entry.host == q.last_host) c *= 4;
-            // Turned this kind away lately while it served others: whatever the cause, those keep the host.
-            if (const auto it = h.shunned.find(q.kind); it != h.shunned.end() && now_ < it->second)
-                c *= shun_cost;
+            if (shuns(h, q.kind)) c *= shun_cost;
             if (!best.second || c < best.first) second = best, best = {c, &h};
             else if (!second.second || c < second.first) second = {c, &h};
         }
@@ -807,6 +801,8 @@
         }
         if (found != requests_.end()) {
             Request& q = found->second;
+            if (a.outcome == Outcome::good && host != hosts_.end())
+                host->second.unanswered[q.ask.request_class] = 0;
             q.out = std::max(0, q.out - 1);
             q.customer->open = std::max(0, q.customer->open - 1);
             if (a.true_units > 0 && s_.units_settled_later && q.in_quota)
@@ -847,28 +843,32 @@
 
     // Expected answers missing under an attempt, whatever the cause: a second copy, or where none may be out
     // a cancel, and the host is ejected. Guards against silent death, cut links, stalls; harms a slow lone
-    // request. A first attempt far overdue where the host answers others lost its connection: it is cancelled
-    // and the host not blamed. Harms a request that costs many times the usual.
+    // request. Far overdue where the host answers others it lost its connection and is cancelled; a second in
+    // a row tells that the host leaves its class unanswered: that goes elsewhere. Harms very costly requests.
     void check(Request& q) {
-        if (q.out == 0 || q.waiting) return;
+        if (q.out == 0 || q.waiting || !hosts_.count(q.last_host)) return;
         if (stalled()) return timer(beat_period, q.ask.id, TimerKind::check);
-        if (!hosts_.count(q.last_host)) return;
         Host& h = hosts_.at(q.last_host);
         const RequestClass& k = s_.classes[q.ask.request_class];
         const double waited = seconds(now_ - q.last_sent), aim = aim_s();
-        const double quiet = std::min(waited, seconds(now_ - h.last_answer));
         const double usual = h.answer_s > 0 ? h.answer_s : answer_s_ > 0 ? answer_s_ : check_earliest * aim;
-        const bool silent = h.out * quiet >= silent_answers * usual && quiet >= check_earliest * aim;
-        const double due = std::max(overdue_answers * std::max(usual, answer_s_), check_latest * aim);
-        if (silent) fail(h, eject_after);
-        else if (q.attempts > 1 || !fast(aim) || s_.second_copies || 2 * quiet > waited) return;
-        else if (waited < due) return timer(micros(due - waited), q.ask.id, TimerKind::check);
-        const bool may = k.effect == Effect::safe || (!silent && k.effect == Effect::keyed);
-        if (!may || q.attempts >= s_.max_attempts || now_ >= q.latest_start) return;
-        if (s_.second_copies && take_retry()) try_send(q);
-        else if (!s_.second_copies && s_.may_cancel)
-            actions_->push_back(CancelAttempt{q.ask.id, q.attempts - 1});
+        if (h.last_answer > q.last_sent) {
+            if (!fast(aim) || s_.second_copies || k.effect == Effect::unsafe) return;
+            const double due = std::max(overdue_answers * std::max(usual, answer_s_), check_latest * aim);
+            if (waited < due) return timer(micros(due - waited), q.ask.id, TimerKind::check);
+            if (++h.unanswered[q.ask.request_class] > 1)
+                h.shunned[-1 - q.ask.request_class] = now_ + shun_for;
+            if (q.attempts > 1) return;
+        } else {
+            if (h.out * waited < silent_answers * usual || waited < check_earliest * aim) return;
+            fail(h, eject_after);
+            if (k.effect != Effect::safe) return;
+        }
+        if (q.attempts >= s_.max_attempts || now_ >= q.latest_start) return;
+        if (s_.second_copies) return void(take_retry() && try_send(q));
+        if (s_.may_cancel) actions_->push_back(CancelAttempt{q.ask.id, q.attempts - 1});
     }
+    bool shuns(Host& h, int kind) { return now_ < h.shunned[kind]; }
 
     void on(const ClientLeft& e) {
         if (const auto it = requests_.find(e.id); it != requests_.end()) forget(it->second);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -723,6 +723,55 @@
     }
 }
 
+// Three hosts of eight left every submit unanswered for nine seconds while they served look-ups in 30 ms:
+// each submit sent there failed, and the hosts were put out for the look-ups as well.
+TEST(Health, AClassLeftUnansweredAtAHostGoesElsewhereAndTheOtherStays) {
+    Settings s = one_gateway();
+    s.second_copies = false;
+    s.plans = {{"plan", 1000, 1000}};
+    s.classes.push_back({"put", Effect::keyed, RepeatScope::all, 800ms, 2s, 3s, 1, 0});
+    Bench b(s, {host("a"), host("b")});
+    RequestId id = 1;
+    std::map<std::string, int> puts, reads;
+    struct End {
+        RequestId id;
+        std::string host;
+        Outcome outcome;
+        Micros took;
+    };
+    std::multimap<Micros, End> ends;
+    const auto note = [&](const std::vector<Action>& actions) {
+        for (const SendAttempt& a : of<SendAttempt>(actions)) {
+            const bool put = a.id % 2 == 1, lost = put && a.host == "a";
+            ++(put ? puts : reads)[a.host];
+            ends.emplace(b.now + (lost ? 1990ms : 40ms),
+                         End{a.id, a.host, lost ? Outcome::timeout : Outcome::good, lost ? 1990ms : 40ms});
+        }
+    };
+    const auto run = [&](Micros span) {
+        puts.clear(), reads.clear();
+        for (const Micros until = b.now + span; b.now < until;) {
+            for (int i = 0; i < 2; ++i, ++id) note(b.ask(id, 1, 2s, 0, static_cast<int>(id % 2)));
+            for (int i = 0; i < 5; ++i) {
+                for (const CancelAttempt& c : of<CancelAttempt>(b.pass(10ms))) {
+                    std::erase_if(ends, [&](const auto& e) { return e.second.id == c.id; });
+                    note(b.end(c.id, "a", Outcome::cancelled, 440ms, c.attempt));
+                }
+                while (!ends.empty() && ends.begin()->first <= b.now) {
+                    const End e = ends.begin()->second;
+                    ends.erase(ends.begin());
+                    note(b.end(e.id, e.host, e.outcome, e.took));
+                }
+            }
+        }
+    };
+    run(5s);
+    run(15s);
+    EXPECT_LE(puts["a"], 2);
+    EXPECT_GT(puts["b"], 280);
+    EXPECT_GT(reads["a"], 120) << "look-ups still go there, and more than before";
+}
+
 TEST(Hosts, AGatewayKeepsToAStableFew) {
     Settings s = one_gateway();
     s.plans[0].rate = s.plans[0].burst = 0;
