--- a/bench/bare_relay.cpp
+++ b/bench/bare_relay.cpp
@@ -10,6 +10,7 @@
     http::Head head;
     std::string body;
     front::ClientSide side;
+    event::SystemRandom random;
     front::Identity identity;
     front::Framing framing = front::Framing::none;
     Connection(BareRelay& r, event::Fd fd)
@@ -17,7 +18,7 @@
     void on_data(std::string_view bytes) override {
         parser.feed(bytes);
         if (!parser.done()) return;
-        identity = front::identity_of(head, [n = std::uint64_t(1)]() mutable { return n++; });
+        identity = front::identity_of(head, random);
         side = {head.minor, head.method == "HEAD", head.keep_alive, false};
         auto out = std::make_shared<upstream::OutRequest>();
         out->head = front::head_for_host(head, head.target, identity, "127.0.0.1", "relay", body.size());
