--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -1,4 +1,6 @@
 // The node between scripted clients, hosts and a discovery: what passes on the sockets, row by row.
+#include <fcntl.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -118,6 +120,41 @@
     EXPECT_EQ(n.talk(query(2), answer(2).size(), 1s), answer(2));
 }
 
+TEST(Node, OutOfDescriptorsItGoesOnOnceThereAreSomeAgain) {
+    TestNode n;
+    EXPECT_EQ(n.talk(query(1), answer(1).size()), answer(1));
+    rlimit old{};
+    ASSERT_EQ(getrlimit(RLIMIT_NOFILE, &old), 0);
+    const event::Fd probe(::open("/dev/null", O_RDONLY));
+    rlimit tight = old;
+    tight.rlim_cur = static_cast<rlim_t>(probe.get()) + 13;
+    ASSERT_EQ(setrlimit(RLIMIT_NOFILE, &tight), 0);
+    std::vector<event::Fd> many;  // ours and the node's come from the same few
+    for (int i = 0; i < 40; ++i) {
+        int error = 0;
+        many.push_back(event::connect_to("127.0.0.1", n.node->port(), false, error));
+        if (!many.back()) break;
+    }
+    EXPECT_FALSE(many.back()) << "they have run out";
+    n.pass(150ms);
+    many.clear();
+    EXPECT_EQ(setrlimit(RLIMIT_NOFILE, &old), 0);
+    EXPECT_EQ(n.talk(query(2), answer(2).size()), answer(2));
+}
+
+TEST(Node, AlwaysNewCustomersAndConnectionsAreServedAlike) {
+    TestNode n({4});
+    for (std::uint64_t i = 1; i <= 400; ++i)
+        ASSERT_EQ(n.talk(query(i, "c=lookup,t=team,d=1500,units=1,spread=1,first=0", hex(5000 + i)),
+                         answer(i).size()),
+                  answer(i));
+    n.pass(20ms);
+    std::size_t open = 0;
+    for (auto& h : n.hosts)
+        for (auto& p : h->peers) open += !p->over;
+    EXPECT_LE(open, 8u) << "hosts' connections do not grow with customers";
+}
+
 TEST(Node, ASpoiltAnswerIsAFailedAttemptAndNeverReachesTheClient) {
     for (const std::string& bad :
          {std::string("noise\r\n"), std::string("*3\r\n$3000000000\r\naaaa"),
