Judge: a try at the very moment of a start may find nobody

At fault: away() in drill/judge.cpp took a start at the try's own time for one before it. A start one microsecond earlier still excuses nothing. The verdict must be the same each time. Test: both moments; the first failed before.

--- a/tests/drill/judge_test.cpp
+++ b/tests/drill/judge_test.cpp
@@ -93,6 +93,18 @@
     EXPECT_FALSE(judge(all, terms()).kept()) << "another one's death excuses nothing";
 }
 
+// Failed once in some twenty bad days: a try that found nobody and the start had the same microsecond.
+TEST(Judge, ATryAtTheMomentOfAStartMayFindNobodyAndALaterOneMayNot) {
+    for (const int after : {0, 1}) {
+        std::vector<json> all = good();
+        all.push_back({{"t", 40'000}, {"who", "drill"}, {"what", "killed"}, {"gateway", 0}});
+        all.push_back({{"t", 50'000}, {"who", "drill"}, {"what", "started"}, {"gateway", 0}});
+        all.push_back(sent(50'000 + after, "b"));
+        all.push_back(client(50'000 + after, "unreached", "b", json::object()));
+        EXPECT_EQ(judge(all, terms()).kept(), after == 0);
+    }
+}
+
 TEST(Judge, NoEffectTwice) {
     breaks(Rule::no_effect_twice, {host(40'000, "ran", "u", {{"effect", "unsafe"}})});
     breaks(Rule::no_effect_twice,
