Discovery: objects by their braces, silence seen after 2.6 s, doubtful lists asked for twice

The watch took an object a line, so an indented list was taken for broken; a list that could not be read cost the revision and a wait that grew; silence was seen after 5 to 5.5 s and a call that nobody answers waited for as long, so that after the return of discovery the 6 s in which a change counts as told could be past; bytes that never make a whole object counted as life.

Now an object ends where its braces close (platform::ObjectReader, no I/O). Life is an empty line or a whole object: 2.6 s without one, of a service that says something every 2 s, or 1 s without the first, end the watch, and one that had spoken is followed at once. An object that cannot be read, an older revision and a list of nobody make the whole list be asked for at once, the last good one stays in use; what is said twice in a row is believed. The limits are parameters, so the tests take milliseconds.

--- /dev/null
+++ b/src/platform/object_reader.h
@@ -0,0 +1,29 @@
+// Cuts a stream of JSON objects into objects: one ends where its braces close, whatever lines and pieces it
+// came in. No I/O.
+#pragma once
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+namespace silverreach::platform {
+
+class ObjectReader {
+  public:
+    enum class Got { more, whole, broken };
+    explicit ObjectReader(std::size_t most = 1024 * 1024) : most_(most) {}
+    // Takes bytes off the front of `bytes` until an object is whole, or all are taken.
+    Got look(std::string_view& bytes);
+    std::string take();                            // the whole object; the next one begins
+    bool between() const { return depth_ == 0; }   // no object has begun
+    std::string_view why() const { return why_; }  // it is broken
+
+  private:
+    std::size_t most_;
+    std::string object_;
+    int depth_ = 0;
+    bool in_text_ = false, escaped_ = false;
+    std::string_view why_;
+};
+
+}  // namespace silverreach::platform
--- a/src/roster/watch.cpp
+++ b/src/roster/watch.cpp
@@ -5,15 +5,9 @@
 #include <algorithm>
 #include <cstring>
 
-namespace silverreach::roster {
-namespace {
-using namespace std::chrono_literals;
-constexpr Micros wait_first = 50ms, wait_most = 800ms;  // before another try, doubled each time
-constexpr Micros silent_most = 5s;                      // the service says something every 2 s
-constexpr Micros look_period = 500ms;
-constexpr std::size_t most_line = 1024 * 1024;
-}  // namespace
+#include "platform/object_reader.h"
 
+namespace silverreach::roster {
 // One watch on one connection.
 class Watch::Following : public event::StreamOwner, public http::Parser::Events {
   public:
@@ -22,15 +16,19 @@
           stream_(watch.loop_, std::move(fd), *this, true),
           parser_(http::Parser::Kind::response, *this),
           heard_(watch.loop_.now()) {
-        const std::string since = watch.revision_ < 0 ? "" : fmt::format("&since={}", watch.revision_);
+        const std::string since =
+            watch.whole_ || watch.revision_ < 0 ? "" : fmt::format("&since={}", watch.revision_);
         stream_.write(fmt::format("GET /v1/endpoints?follow=1{} HTTP/1.1\r\nHost: {}\r\n\r\n", since,
                                   watch.at_.text()));
     }
     void close() { stream_.close(), over_ = true; }
-    bool silent(Micros now) const { return now - heard_ >= silent_most; }
+    // Life is an empty line or a whole object; bytes that never make one are none.
+    bool silent(Micros now) const {
+        return !over_ && now - heard_ >= (spoke_ ? watch_.times_.silent : watch_.times_.first);
+    }
+    bool spoke() const { return spoke_; }
 
     void on_data(std::string_view bytes) override {
-        heard_ = watch_.loop_.now();
         parser_.feed(bytes);
         if (!over_ && parser_.done()) end("the answer ended");
     }
@@ -43,46 +41,54 @@
     }
     void on_body(std::string_view bytes) override {
         while (!over_ && !bytes.empty()) {
-            const std::size_t end_of_line = bytes.find('\n');
-            line_.append(bytes.substr(0, end_of_line));
-            if (line_.size() > most_line) return end("a line without end");
-            if (end_of_line == std::string_view::npos) return;
-            bytes.remove_prefix(end_of_line + 1);
-            const std::string line = std::exchange(line_, {});
-            if (line.find_first_not_of(" \r\t") != std::string::npos) take(line);
+            const bool between = objects_.between();
+            const auto got = objects_.look(bytes);
+            if (got == platform::ObjectReader::Got::broken) return unreadable(std::string(objects_.why()));
+            if (got == platform::ObjectReader::Got::whole) take(objects_.take());
+            else if (between && objects_.between()) heard_ = watch_.loop_.now();
         }
     }
     void on_message_end(http::Fields&) override {}
     void on_fault(const http::Fault& fault) override { end(std::string(fault.why)); }
 
   private:
-    void take(const std::string& line) {
-        auto list = platform::read_targets(line);
-        if (!list) {
-            // What it told is not known now: the next watch begins with the whole list.
-            watch_.revision_ = -1;
-            return end("a line that cannot be read");
-        }
+    void take(const std::string& object) {
+        auto list = platform::read_targets(object);
+        if (!list) return unreadable("an object that cannot be read");
+        heard_ = watch_.loop_.now();
+        if (watch_.doubtful(*list)) return end("a list in doubt");
+        spoke_ = true;
+        watch_.whole_ = watch_.told_ = false;
         watch_.revision_ = list->revision;
-        watch_.wait_ = wait_first, watch_.told_ = false;
+        watch_.wait_ = watch_.times_.wait_first;
         watch_.hooks_.changed(std::move(*list));
     }
+    // What it told is not known now: the next watch begins with the whole list.
+    void unreadable(const std::string& why) {
+        watch_.whole_ = true;
+        end(why);
+    }
     void end(const std::string& why) {
         if (std::exchange(over_, true)) return;
         stream_.close();
-        watch_.lost(why);
+        watch_.lost(why, spoke_);
     }
 
     Watch& watch_;
     event::Stream stream_;
     http::Parser parser_;
-    std::string line_;
+    platform::ObjectReader objects_;
     Micros heard_;
-    bool over_ = false;
+    bool over_ = false, spoke_ = false;
 };
 
-Watch::Watch(event::Loop& loop, config::Endpoint at, std::int64_t revision, Hooks hooks)
-    : loop_(loop), at_(std::move(at)), revision_(revision), hooks_(std::move(hooks)), wait_(wait_first) {
+Watch::Watch(event::Loop& loop, config::Endpoint at, std::int64_t revision, Hooks hooks, Times times)
+    : loop_(loop),
+      at_(std::move(at)),
+      revision_(revision),
+      hooks_(std::move(hooks)),
+      times_(times),
+      wait_(times.wait_first) {
     follow();
     again();
 }
@@ -92,10 +98,22 @@
     if (at == at_) return;
     at_ = std::move(at);
     revision_ = -1;
-    wait_ = wait_first;
+    doubted_.reset();
+    wait_ = times_.wait_first;
     follow();
 }
 
+// An older revision, or a list of nobody. Taken where the service says the same when it is asked for the
+// whole.
+bool Watch::doubtful(const platform::TargetList& list) {
+    const bool odd = list.revision < revision_ || (list.whole && list.targets.empty());
+    const bool again = list.whole && doubted_ == list.revision;
+    doubted_.reset();
+    if (!odd || again) return false;
+    doubted_ = list.revision;
+    return whole_ = true;
+}
+
 void Watch::follow() {
     ++turn_;
     if (now_) {
@@ -104,27 +122,29 @@
     }
     int error = 0;
     event::Fd fd = event::connect_to(at_.ip, at_.port, at_.v6, error);
-    if (!fd) return lost(std::strerror(error));
+    if (!fd) return lost(std::strerror(error), false);
     now_ = std::make_unique<Following>(*this, std::move(fd));
 }
 
-void Watch::lost(const std::string& why) {
+// One that has spoken is followed by the next at once; after that the waits grow.
+void Watch::lost(const std::string& why, bool spoke) {
     if (!std::exchange(told_, true)) hooks_.lost(at_.text() + ": " + why);
-    loop_.after(wait_, [this, turn = ++turn_, alive = std::weak_ptr<bool>(alive_)] {
+    loop_.after(spoke ? Micros(0) : wait_, [this, turn = ++turn_, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired() && turn == turn_) follow();
     });
-    wait_ = std::min(wait_ * 2, wait_most);
+    if (!spoke) wait_ = std::min(wait_ * 2, times_.wait_most);
 }
 
 // A service that says nothing for long has gone, whatever the connection looks like.
 void Watch::again() {
-    loop_.after(look_period, [this, alive = std::weak_ptr<bool>(alive_)] {
+    loop_.after(times_.look, [this, alive = std::weak_ptr<bool>(alive_)] {
         if (alive.expired()) return;
         old_.reset();
         if (now_ && now_->silent(loop_.now())) {
+            const bool spoke = now_->spoke();
             now_->close();
             old_ = std::move(now_);
-            lost("silence");
+            lost("silence", spoke);
         }
         again();
     });
