What is owed at an end: nothing begins for a client that has gone, no answer lost to a close

Ruled out: retries and held requests, none was written late but on a connection coming up. At fault: Core::client_left left all attempts alone, Connection::on_connected of both pools wrote for nobody.

Changes: the core takes back what has not gone out whole when its request is over (withdraw), or when its host drains. A connection that is late to come up is kept for the next attempt instead of closed. The front looks for the client's end behind the bytes it has just read, before any attempt later than its request, and reads 32 KiB ahead while commands wait, so that the end is seen there too. It ends a connection by ending its sending and reading on for 300 ms or 256 KiB, never parsing what comes; before, a close over unread bytes reset the connection and took the last answer. A drain lasts until the last request is answered; what comes in it is answered before 0.7 s and the longest deadline (3 s at most) are over, less 0.1 s. Before, the process ended at the very time of SIGKILL with requests in hand.

Tests: tests/node/endings_test.cpp; those of a client's end (4), of a draining host, of the last line and of the drain (2) were seen to fail on the code before. Others guard the new ends.

--- a/bench/parts_bench.cpp
+++ b/bench/parts_bench.cpp
@@ -34,6 +34,7 @@
     void start_timer(Micros, core::Timer t) override { timers.push_back(t); }
     void send(const core::AttemptKey& k, const std::string& h, Micros) override { key = k, host = h; }
     void cancel(const core::AttemptKey&) override {}
+    bool withdraw(const core::AttemptKey&) override { return false; }
     void probe(const std::string&) override {}
     void tell(int, const std::string&) override {}
     void finish(RequestId, const core::Final&) override {}
--- a/drill/fleet/virtual_fleet.cpp
+++ b/drill/fleet/virtual_fleet.cpp
@@ -99,6 +99,7 @@
             });
         }
         void cancel(const core::AttemptKey&) override {}
+        bool withdraw(const core::AttemptKey&) override { return false; }
         void probe(const std::string&) override {}
         void tell(int to, const std::string& bytes) override {
             for (int i = 0; i < sim.day_.instances; ++i)
--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -215,6 +215,7 @@
     upstream_->send(key, host, std::move(request));
 }
 void Instance::cancel(const core::AttemptKey& key) { upstream_->cancel(key); }
+bool Instance::withdraw(const core::AttemptKey& key) { return upstream_->withdraw(key); }
 void Instance::probe(const std::string& host) { upstream_->probe(host); }
 void Instance::tell(int rank, const std::string& bytes) {
     if (peers_) peers_->send(rank, bytes);
--- a/src/cli/instance.h
+++ b/src/cli/instance.h
@@ -40,6 +40,7 @@
     void start_timer(Micros from_now, core::Timer timer) override;
     void send(const core::AttemptKey& key, const std::string& host, Micros within) override;
     void cancel(const core::AttemptKey& key) override;
+    bool withdraw(const core::AttemptKey& key) override;
     void probe(const std::string& host) override;
     void tell(int rank, const std::string& bytes) override;
     void finish(RequestId id, const core::Final& answer) override;
--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -16,8 +16,10 @@
 namespace {
 using namespace std::chrono_literals;
 constexpr Micros counts_period = 10s, drain_look = 10ms;
-constexpr Micros notice = 500ms;          // that clients may need to see that this instance is ending
-constexpr Micros after_deadline = 200ms;  // to let the last answer out
+constexpr Micros notice = 500ms;  // that clients may need to see that this instance is ending
+constexpr Micros killed_after = 700ms,
+                 deadline_counted = 3s;   // SIGKILL: so long after SIGTERM and a deadline
+constexpr Micros kill_margin = 100ms;     // before it, for the last answer to get out
 constexpr int reserved_descriptors = 24;  // listener, discovery, peers, loop, log, files
 constexpr Micros idle_reserve = 2s;       // a connection is given up so long before its host does
 
@@ -68,7 +70,9 @@
     known.whole = true;
     hosts_changed(known);
     fronts::resp::FrontLimits limits;
-    limits.connections = sockets - pool.connections;
+    const std::size_t clients = sockets - pool.connections;
+    limits.lingering = clients / 8;
+    limits.connections = clients - limits.lingering;
     limits.kept_bytes = static_cast<std::size_t>(config_.limits.memory_mb) * 1024 * 1024 / 16;
     front_ = std::make_unique<fronts::resp::Front>(loop, config_.listen, judge_, limits, *core_,
                                                    [this] { return now(); });
@@ -97,6 +101,7 @@
     change.whole_list = list.whole;
     for (const platform::Target& t : list.targets) change.entries.push_back(t.entry);
     core_->hosts_changed(now(), std::move(change));
+    upstream_->take_back_unlisted();
 }
 
 void Node::reload(const platform::NodeConfig& fresh) {
@@ -107,19 +112,20 @@
 void Node::drain(Micros still, Micros most, std::function<void()> done) {
     if (std::exchange(draining_, true)) return;
     log_.write(log::Level::warning, "draining", {{"in_hand", whole(front_->in_hand())}});
-    loop_.after(still, [this, most, done = std::move(done), alive = std::weak_ptr<bool>(alive_)]() mutable {
+    const Micros end = loop_.now() + most;
+    loop_.after(still, [this, end, done = std::move(done), alive = std::weak_ptr<bool>(alive_)]() mutable {
         if (alive.expired()) return;
         front_->stop_listening();
-        front_->close_when_idle();
-        wait_for_drain(loop_.now() + most, std::move(done));
+        front_->close_when_idle(end);
+        wait_for_drain(std::move(done));
     });
 }
-void Node::wait_for_drain(Micros until, std::function<void()> done) {
-    if (front_->stats().connections == 0 || loop_.now() >= until) return done();
-    loop_.after(drain_look,
-                [this, until, done = std::move(done), alive = std::weak_ptr<bool>(alive_)]() mutable {
-                    if (!alive.expired()) wait_for_drain(until, std::move(done));
-                });
+// As long as a request is in hand it goes on, however late: to end by itself would lose it.
+void Node::wait_for_drain(std::function<void()> done) {
+    if (front_->stats().connections == 0) return done();
+    loop_.after(drain_look, [this, done = std::move(done), alive = std::weak_ptr<bool>(alive_)]() mutable {
+        if (!alive.expired()) wait_for_drain(std::move(done));
+    });
 }
 
 void Node::log_counts() {
@@ -180,6 +186,7 @@
 
 void Node::start_timer(Micros from_now, core::Timer timer) { timers_.start(from_now, timer.token); }
 void Node::send(const core::AttemptKey& key, const std::string& host, Micros within) {
+    front_->look_for_client(key.request);
     auto command = front_->out_command(key.request);
     if (!command) {
         upstream_resp::Answer moot;
@@ -189,6 +196,7 @@
     upstream_->send(key, host, std::move(command), within);
 }
 void Node::cancel(const core::AttemptKey& key) { upstream_->cancel(key); }
+bool Node::withdraw(const core::AttemptKey& key) { return upstream_->withdraw(key); }
 void Node::probe(const std::string& host) { upstream_->probe(host); }
 void Node::tell(int rank, const std::string& bytes) {
     if (peers_) peers_->send(rank, bytes);
@@ -244,7 +252,8 @@
         Node running(loop, std::move(config), log);
         node = &running;
         log.write(log::Level::warning, "ready", running.limits());
-        const auto stop = [&] { running.drain(notice, longest + after_deadline, [&] { loop.stop(); }); };
+        const Micros most = std::min(longest, deadline_counted) + killed_after - kill_margin;
+        const auto stop = [&] { running.drain(notice, most, [&] { loop.stop(); }); };
         event::Signal term(loop, SIGTERM, stop), interrupt(loop, SIGINT, stop);
         std::function<void()> counts = [&] {
             running.log_counts();
--- a/src/cli/node.h
+++ b/src/cli/node.h
@@ -27,8 +27,9 @@
     int port() const { return front_->port(); }
     // A new configuration: its discovery is followed from now on. What else differs waits for a restart.
     void reload(const platform::NodeConfig& fresh);
-    // Goes on serving for `notice`, while clients still come; then takes no more, answers what is in hand and
-    // calls `done`, after `most` at the latest. A second call changes nothing.
+    // Goes on serving for `notice`, while clients still come; then takes no new connection and calls `done`
+    // once all that it has taken is answered. What comes meanwhile is answered within `most` from now. A
+    // second call changes nothing.
     void drain(Micros notice, Micros most, std::function<void()> done);
     void log_counts();
     log::Fields limits() const;  // by which it runs, for the log
@@ -38,6 +39,7 @@
     void start_timer(Micros from_now, core::Timer timer) override;
     void send(const core::AttemptKey& key, const std::string& host, Micros within) override;
     void cancel(const core::AttemptKey& key) override;
+    bool withdraw(const core::AttemptKey& key) override;
     void probe(const std::string& host) override;
     void tell(int rank, const std::string& bytes) override;
     void finish(RequestId id, const core::Final& answer) override;
@@ -49,7 +51,7 @@
 
     Micros now() const { return loop_.now() + offset_; }
     void hosts_changed(const platform::TargetList& list);
-    void wait_for_drain(Micros until, std::function<void()> done);
+    void wait_for_drain(std::function<void()> done);
 
     event::Loop& loop_;
     const platform::NodeConfig config_;
--- a/src/core/core.cpp
+++ b/src/core/core.cpp
@@ -50,6 +50,7 @@
         ++counts_.served;
     }
     feed(now, AttemptEnded{key.request, key.attempt, host, Outcome::good, took, true, true_units, report});
+    if (first) withdraw(now, key.request);
     forget_if_over(key.request);
     return first;
 }
@@ -76,11 +77,13 @@
     const auto it = requests_.find(id);
     if (it == requests_.end() || it->second.state == State::over) return;
     const bool held = it->second.state == State::held;
+    const int bound = it->second.bound_attempt;
     ++counts_.left;
     it->second.state = State::over;
-    // Attempts go on: hosts do not stop for a cancel, and their answers still tell of their load.
+    // Attempts that run go on: hosts do not stop for a cancel, and their answers still tell of their load.
+    withdraw(now, id);
     if (held) feed(now, ClientLeft{id});
-    else outside_.cancel({id, it->second.bound_attempt});
+    else outside_.cancel({id, bound});
     forget_if_over(id);
 }
 
@@ -141,7 +144,7 @@
         const bool late = out || it->second.last == Outcome::timeout || it->second.last == Outcome::cancelled;
         answer.fail_reason = late ? FailReason::no_time : FailReason::bad_answer;
     }
-    end(id, it->second, answer);
+    end(now, id, it->second, answer);
     forget_if_over(id);
 }
 
@@ -162,10 +165,11 @@
     outside_.send(key, action.host, action.within > 0us ? std::min(action.within, left) : left);
 }
 
-void Core::end(RequestId id, Request& request, const Final& answer) {
+void Core::end(Micros now, RequestId id, Request& request, const Final& answer) {
     request.state = State::over;
     ++(answer.refused ? counts_.refused : counts_.failed);
     outside_.finish(id, answer);
+    withdraw(now, id);
 }
 
 // The client's time is up. The module has answered before that; if it has not, the core does, so that the
@@ -176,7 +180,7 @@
     if (it->second.state == State::held) {
         Final late;
         late.fail_reason = FailReason::no_time;
-        end(id, it->second, late);
+        end(now, id, it->second, late);
     } else if (it->second.state == State::bound) {
         ++counts_.broken;
         it->second.state = State::over;
@@ -189,6 +193,17 @@
     forget_if_over(id);
 }
 
+// An attempt that has not gone out, since its connection is still coming up, would begin for nobody.
+void Core::withdraw(Micros now, RequestId id) {
+    const auto of = [&] { return requests_.find(id); };
+    for (std::size_t i = 0; of() != requests_.end() && i < of()->second.attempts.size(); ++i) {
+        const AttemptKey key{id, static_cast<int>(i)};
+        const Attempt attempt = of()->second.attempts[i];
+        if (!attempt.ended && outside_.withdraw(key))
+            attempt_ended(now, key, attempt.host, Outcome::moot, now - attempt.sent, {});
+    }
+}
+
 void Core::attempt_due(Micros now, const AttemptKey& key) {
     const auto it = requests_.find(key.request);
     if (it == requests_.end() || key.attempt >= static_cast<int>(it->second.attempts.size())) return;
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -73,6 +73,9 @@
     virtual void send(const AttemptKey& key, const std::string& host, Micros within) = 0;
     // Stops waiting for the attempt; no word of it is expected any more.
     virtual void cancel(const AttemptKey& key) = 0;
+    // Takes back an attempt whose last byte has not gone out yet. True: it never runs, no word of it comes;
+    // false: it may be running.
+    virtual bool withdraw(const AttemptKey& key) = 0;
     virtual void probe(const std::string& host) = 0;             // ends in Core::probe_ended
     virtual void tell(int rank, const std::string& bytes) = 0;   // below 0: every peer
     virtual void finish(RequestId id, const Final& answer) = 0;  // the client's final answer
@@ -127,9 +130,10 @@
     void feed(Micros now, Event event);
     void carry_out(Micros now, const Action& action);
     void send(Micros now, const SendAttempt& action);
-    void end(RequestId id, Request& request, const Final& answer);
+    void end(Micros now, RequestId id, Request& request, const Final& answer);
     void time_up(Micros now, RequestId id);
     void attempt_due(Micros now, const AttemptKey& key);
+    void withdraw(Micros now, RequestId id);
     void own_timer(Micros from_now, const AttemptKey& key);
     // Marks the attempt as ended and returns its request; nothing where that is known already.
     Request* close(const AttemptKey& key);
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -143,6 +143,12 @@
     const ssize_t n = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return n >= 0 || !retry_later(errno);
 }
+bool Stream::left() const {
+    char byte;
+    if (closed() || told_end_) return true;
+    const ssize_t n = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && !retry_later(errno));
+}
 void Stream::close() {
     if (io_) io_->want(none);
     fd_.reset();
--- a/src/event/stream.h
+++ b/src/event/stream.h
@@ -37,6 +37,7 @@
     void end();          // no more will be written
     bool closed() const { return !fd_; }
     bool unread() const;  // bytes, or the end, have come that the owner has not been told of
+    bool left() const;    // the other side's end, or a break, is all that has come and was not told
     int fd() const { return fd_.get(); }
 
   private:
--- a/src/fronts/resp/connection.cpp
+++ b/src/fronts/resp/connection.cpp
@@ -13,7 +13,10 @@
 constexpr Micros answer_margin = 5ms;  // of the client's time, for the way back and this loop's turn
 constexpr std::size_t places_most = 64, commands_a_turn = 64;
 constexpr std::size_t queued_most = 256 * 1024;  // bytes that a client has not read
-constexpr int nonsense_free = 8;                 // commands without sense before they are read more slowly
+constexpr std::size_t ahead_most = 32 * 1024;    // of commands read before there is room for them
+constexpr Micros linger_most = 300ms;  // for the client to end as well, once nothing is sent any more
+constexpr std::size_t linger_bytes = 256 * 1024;  // of it that are read and dropped
+constexpr int nonsense_free = 8;                  // commands without sense before they are read more slowly
 constexpr Micros nonsense_pause = 20ms;
 constexpr int nonsense_steps = 25;
 }  // namespace
@@ -27,6 +30,12 @@
 
 void Front::Connection::on_data(std::string_view bytes) {
     if (gone_) return;
+    if (lingering_) {
+        if ((dropped_ += bytes.size()) > linger_bytes) close();
+        return;
+    }
+    // Its end may have come with the bytes: nobody waits for what they ask.
+    if (stream_.left()) return close();
     const std::size_t before = in_.size();
     in_.append(bytes);
     keep(before);
@@ -36,7 +45,7 @@
 
 // Takes the commands that are whole, as long as there is room for their answers.
 void Front::Connection::work() {
-    if (working_ || gone_ || ending_) return;
+    if (working_ || gone_ || ending_ || lingering_) return;
     working_ = true;
     std::size_t taken = 0;
     const std::size_t before = in_.size();
@@ -80,11 +89,12 @@
         });
 }
 
-// Reads on only while there is room for what it brings.
+// Reads on only while there is room for what it brings. Somewhat ahead of that, so that the client's end is
+// seen behind commands that wait for their turn; not where all connections together keep too much.
 void Front::Connection::hold() {
-    const bool full = held_ || ending_ || places_.size() >= places_most || stream_.queued() >= queued_most ||
-                      in_.size() > wire::Limits{}.total;
-    stream_.read(!full);
+    const bool waits = held_ || ending_ || places_.size() >= places_most || stream_.queued() >= queued_most;
+    const bool tight = front_.kept_bytes_ > front_.limits_.kept_bytes;
+    stream_.read(in_.size() <= (!waits ? wire::Limits{}.total : tight ? 0 : ahead_most));
 }
 
 void Front::Connection::request(const std::vector<std::string_view>& words) {
@@ -102,14 +112,14 @@
     platform::Request r = front_.judge_.judge(words);
     if (!r.error.empty()) return nonsense(r.error);
     if (front_.by_client_id_.count(r.id)) return nonsense("id: a request of that name is open");
-    const Micros left = r.attempt.time_left - answer_margin;
+    const Micros left = std::min(r.attempt.time_left, front_.time_to_end()) - answer_margin;
     if (left <= 0us) return say("-BUSY\r\n");
     r.attempt.time_left = left;
     nonsense_in_a_row_ = 0;
     const RequestId id = front_.core_.next_id();
     places_.push_back({id, {}});
     front_.by_client_id_[r.id] = id;
-    front_.requests_[id] = {this, first_place_ + places_.size() - 1, r.id,
+    front_.requests_[id] = {this, first_place_ + places_.size() - 1, r.id, front_.loop_.now(),
                             std::make_shared<const platform::OutCommand>(std::move(r.out))};
     front_.core_.take(front_.clock_(), id, r.attempt);
 }
@@ -155,17 +165,19 @@
         stream_.write(out);
     }
     slow_since_ = stream_.queued() == 0 ? 0us : slow_since_ == 0us ? front_.loop_.now() : slow_since_;
-    if (over()) close();
+    if (over()) leave();
 }
 
 bool Front::Connection::over() const {
-    if (!ending_) return front_.closing_ && at_rest();
-    return places_.empty() && stream_.queued() == 0;
+    if (lingering_) return false;
+    if (!places_.empty() || stream_.queued() > 0) return false;
+    if (!ending_) return front_.closing_ && (at_rest() || front_.time_to_end() <= 0us);
+    return true;
 }
 
 void Front::Connection::on_drained() {
     slow_since_ = 0us;
-    if (over()) return close();
+    if (over()) return leave();
     if (!in_.empty()) work();
     else hold();
 }
@@ -179,17 +191,33 @@
 
 void Front::Connection::look(Micros now) {
     if (gone_) return;
+    if (lingering_) {
+        if (now - since_ >= linger_most) close();
+        return;
+    }
     if (places_.empty()) {
-        if (commands_ == 0 && now - since_ >= first_command_due) return ++front_.stats_.silent, close();
-        if (commands_ > 0 && now - since_ >= idle_most && at_rest()) return close();
+        if (commands_ == 0 && now - since_ >= first_command_due) return ++front_.stats_.silent, leave();
+        if (commands_ > 0 && now - since_ >= idle_most && at_rest()) return leave();
     }
-    if (over()) return close();
+    if (over()) return leave();
     if (!in_.empty() && !held_ && !ending_ && places_.size() < places_most && partial_since_ > 0us &&
         now - partial_since_ >= command_due)
         return ++front_.stats_.broken, fault("a command not finished in time");
     if (slow_since_ > 0us && now - slow_since_ >= unread_most) return close();
 }
 
+void Front::Connection::leave() {
+    if (gone_ || std::exchange(lingering_, true)) return;
+    since_ = front_.loop_.now();
+    slow_since_ = 0us;
+    const std::size_t before = in_.size();
+    in_.clear();
+    keep(before);
+    stream_.end();
+    stream_.read(true);
+    front_.lingers(*this);
+}
+
 void Front::Connection::close() {
     if (std::exchange(gone_, true)) return;
     stream_.close();
--- a/src/fronts/resp/connection.h
+++ b/src/fronts/resp/connection.h
@@ -16,6 +16,12 @@
 
     void answered(std::uint64_t place, std::string bytes);  // whole, as it goes out
     void close();  // at once; requests in hand have lost their client
+    // Ends it with nothing owed to the client: sends no more, reads and drops what still comes until the
+    // client ends as well. Closed over unread bytes the system would reset it, and with it take answers that
+    // the client has not got yet.
+    void leave();
+    bool lingering() const { return lingering_; }
+    bool left() const { return stream_.left(); }  // the client has gone, though the loop has not told yet
     // Looks at the time: a connection that owes a command, or has been idle, goes.
     void look(Micros now);
     bool idle() const { return places_.empty() && in_.empty() && stream_.queued() == 0; }
@@ -54,7 +60,8 @@
     std::uint64_t first_place_ = 0, commands_ = 0;
     int nonsense_in_a_row_ = 0;
     Micros since_, partial_since_{0}, slow_since_{0};
-    bool held_ = false, working_ = false, ending_ = false, gone_ = false;
+    std::size_t dropped_ = 0;  // bytes, while lingering
+    bool held_ = false, working_ = false, ending_ = false, lingering_ = false, gone_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/fronts/resp/front.cpp
+++ b/src/fronts/resp/front.cpp
@@ -23,20 +23,29 @@
 // Room for one more. Where there is none the oldest that never said a whole command goes, else the one that
 // has been idle longest; a connection with a request in hand never does.
 bool Front::room() {
-    if (connections_.size() < limits_.connections) return true;
+    if (connections_.size() - lingering_ < limits_.connections) return true;
     Connection* out = nullptr;
     for (const auto& c : connections_) {
-        if (!c->silent() && !c->idle()) continue;
+        if (c->lingering() || (!c->silent() && !c->idle())) continue;
         const bool rather = !out || (c->silent() && !out->silent()) ||
                             (c->silent() == out->silent() && c->since() < out->since());
         if (rather && (c->silent() || c->at_rest())) out = c.get();
     }
     if (!out) return ++stats_.turned_away, false;
     ++stats_.silent;
-    out->close();
+    out->leave();
     return true;
 }
 
+// Of too many that wait for their clients to end, the one that has waited longest is closed.
+void Front::lingers(Connection& connection) {
+    if (++lingering_ <= limits_.lingering) return;
+    Connection* out = nullptr;
+    for (const auto& c : connections_)
+        if (c->lingering() && c.get() != &connection && (!out || c->since() < out->since())) out = c.get();
+    (out ? *out : connection).close();
+}
+
 void Front::accepted(event::Fd fd) {
     ++stats_.accepted;
     connections_.push_back(std::make_unique<Connection>(*this, std::move(fd)));
@@ -46,6 +55,7 @@
 // It may be in the middle of a call of its own; it goes at the next turn.
 void Front::bury(Connection& connection) {
     const std::size_t at = connection.slot;
+    lingering_ -= connection.lingering();
     gone_.bury(std::move(connections_[at]));
     if (at + 1 != connections_.size()) {
         connections_[at] = std::move(connections_.back());
@@ -68,6 +78,12 @@
     return it == requests_.end() ? nullptr : it->second.out;
 }
 
+void Front::look_for_client(RequestId id) {
+    const auto it = requests_.find(id);
+    if (it == requests_.end() || it->second.taken == loop_.now()) return;
+    if (Connection& c = *it->second.connection; c.left()) c.close();
+}
+
 void Front::over(RequestId id, std::string bytes) {
     const auto it = requests_.find(id);
     if (it == requests_.end()) return;
@@ -93,8 +109,8 @@
 void Front::stop_listening() {
     if (listener_) listener_->stop();
 }
-void Front::close_when_idle() {
-    closing_ = true;
+void Front::close_when_idle(Micros end) {
+    closing_ = true, end_ = end;
     for (std::size_t i = connections_.size(); i-- > 0;)
         if (i < connections_.size()) connections_[i]->look(loop_.now());
 }
--- a/src/fronts/resp/front.h
+++ b/src/fronts/resp/front.h
@@ -24,6 +24,7 @@
 
 struct FrontLimits {
     std::size_t connections = 100;
+    std::size_t lingering = 12;                // beyond these: ended here, not yet by their clients
     std::size_t kept_bytes = 4 * 1024 * 1024;  // of commands not whole yet, over all connections
 };
 
@@ -41,8 +42,11 @@
     void answer(RequestId id, std::string_view value);  // a host's, whole
 
     void stop_listening();  // takes what has been accepted by the system already, then no more
-    // From now on a connection goes once its last request is answered.
-    void close_when_idle();
+    // From now on a connection goes once its last request is answered, and what still comes is answered
+    // before `end` (of the loop's time). After that one goes as soon as it has no request in hand.
+    void close_when_idle(Micros end);
+    // Before an attempt that comes later than its request: sees to it that the client is still there.
+    void look_for_client(RequestId id);
     std::size_t in_hand() const { return requests_.size(); }
 
     struct Stats {
@@ -57,12 +61,15 @@
         Connection* connection = nullptr;
         std::uint64_t place = 0;      // of the command among its connection's
         std::uint64_t client_id = 0;  // as the client named it
+        Micros taken{0};
         std::shared_ptr<const platform::OutCommand> out;
     };
     bool room();
     void accepted(event::Fd fd);
     void over(RequestId id, std::string bytes);  // its answer, as it goes out
     void bury(Connection& connection);
+    void lingers(Connection& connection);
+    Micros time_to_end() const { return closing_ ? end_ - loop_.now() : Micros::max(); }
     void sweep();
 
     event::Loop& loop_;
@@ -76,6 +83,8 @@
     event::Graveyard<Connection> gone_;
     std::size_t kept_bytes_ = 0;
     bool closing_ = false;
+    Micros end_{0};
+    std::size_t lingering_ = 0;  // of connections_
     Stats stats_;
     std::unique_ptr<event::Listener> listener_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/upstream/resp/pool.cpp
+++ b/src/upstream/resp/pool.cpp
@@ -14,6 +14,10 @@
 // Beyond the protocol's 64 KiB, which hosts do not keep to: 188 to 328 KB were seen.
 constexpr wire::Limits answer_limits{.items = 8, .bulk = 1024 * 1024, .total = 1028 * 1024, .line = 256};
 constexpr std::size_t small_answer = 64 * 1024;  // always taken, however much is kept
+// A connection that is late to come up is kept so long, and so many to one host, as it may still serve the
+// next attempt; without that each late one costs an attempt and a handshake more.
+constexpr Micros coming_most = 2s;
+constexpr std::size_t coming_to_one = 2;
 const core::AttemptKey no_key{0, -1};
 }  // namespace
 
@@ -22,6 +26,7 @@
     std::optional<config::Endpoint> endpoint;
     std::vector<std::unique_ptr<Connection>> idle;  // the latest used last
     std::vector<std::unique_ptr<Connection>> in_use;
+    std::vector<std::unique_ptr<Connection>> coming;  // given up by their attempts before they stood
     bool listed = true;
 };
 
@@ -45,11 +50,15 @@
     Pool& pool() { return pool_; }
     event::Stream& stream() { return stream_; }
     bool at(const std::optional<config::Endpoint>& e) const { return e == address_; }
+    bool connected() const { return connected_; }
+    // All of the request has left; before that it cannot have run.
+    bool handed_over() const { return connected_ && bytes_.empty() && stream_.queued() == 0; }
     Micros idle_since{0};
 
     void on_connected() override {
         connected_ = true;
         if (busy_) write_out();
+        else up_.came_up(*this);
     }
     void on_data(std::string_view bytes) override {
         if (!busy_) return ++up_.stats_.more, up_.drop_idle(*this);  // nobody asked for it
@@ -94,20 +103,24 @@
     // Ends the attempt without a word to anybody.
     void abandon() {
         finish_use();
-        stream_.close();
-        up_.release(*this, false);
+        up_.release(*this, !connected_);
+    }
+    // Its host wants nothing new: the attempt that has not gone out ends as one that was never sent.
+    void take_back() {
+        Answer a;
+        a.outcome = Outcome::moot;
+        end(std::move(a), false);
     }
 
   private:
     void write_out() { stream_.write(std::exchange(bytes_, {})); }
-    bool handed_over() const { return bytes_.empty() && stream_.queued() == 0; }
     void limit(Micros wait, Outcome outcome, bool unless_connected) {
         up_.loop_.after(
             wait, [this, outcome, unless_connected, turn = turn_, alive = std::weak_ptr<bool>(alive_)] {
                 if (alive.expired() || turn_ != turn || !busy_ || (unless_connected && connected_)) return;
                 Answer a;
                 a.outcome = outcome;
-                end(std::move(a), false);
+                end(std::move(a), !connected_);
             });
     }
     void watch_stop(Micros wait) {
@@ -139,7 +152,6 @@
         Upstream& up = up_;
         const std::string host = pool_.host;
         finish_use();
-        if (!reusable) stream_.close();
         up.release(*this, reusable);
         if (key == no_key) return up.events_.probe_ended({host, answer.outcome, took, answer.report});
         up.events_.attempt_ended(key, host, took, std::move(answer));
@@ -158,6 +170,11 @@
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
+std::vector<std::unique_ptr<Upstream::Connection>>::iterator Upstream::find(
+    std::vector<std::unique_ptr<Connection>>& among, const Connection& connection) {
+    return std::find_if(among.begin(), among.end(), [&](const auto& c) { return c.get() == &connection; });
+}
+
 Upstream::Upstream(event::Loop& loop, PoolLimits limits, Events& events)
     : loop_(loop), limits_(limits), events_(events), gone_(loop) {
     sweep();
@@ -195,13 +212,13 @@
 // Closes the connection that has been idle longest, to any host.
 bool Upstream::make_room() {
     Pool* from = nullptr;
+    for (const auto& [name, pool] : pools_)
+        if (!pool->coming.empty()) return drop_idle(*pool->coming.front()), true;
     for (const auto& [name, pool] : pools_)
         if (!pool->idle.empty() && (!from || pool->idle.front()->idle_since < from->idle.front()->idle_since))
             from = pool.get();
     if (!from) return ++stats_.full, false;
-    auto connection = std::move(from->idle.front());
-    from->idle.erase(from->idle.begin());
-    bury(std::move(connection));
+    drop_idle(*from->idle.front());
     return true;
 }
 
@@ -218,6 +235,11 @@
     connection->begin(key, command->with(within));
 }
 
+bool Upstream::withdraw(const core::AttemptKey& key) {
+    const auto it = by_key_.find(key);
+    if (it == by_key_.end() || it->second->handed_over()) return false;
+    return it->second->abandon(), true;
+}
 void Upstream::cancel(const core::AttemptKey& key) {
     const auto it = by_key_.find(key);
     if (it != by_key_.end()) it->second->abandon();
@@ -237,28 +259,36 @@
 void Upstream::release(Connection& connection, bool reusable) {
     if (!connection.probing()) by_key_.erase(connection.key());
     Pool& pool = connection.pool();
-    const auto it = std::find_if(pool.in_use.begin(), pool.in_use.end(),
-                                 [&](const auto& c) { return c.get() == &connection; });
+    const auto it = find(pool.in_use, connection);
     if (it == pool.in_use.end()) return;
     auto owned = std::move(*it);
     *it = std::move(pool.in_use.back());
     pool.in_use.pop_back();
     connection.idle_since = loop_.now();
     if (reusable && pool.listed && connection.at(pool.endpoint)) {
-        pool.idle.push_back(std::move(owned));
-        return;
+        if (connection.connected()) return pool.idle.push_back(std::move(owned));
+        if (pool.coming.size() < coming_to_one) return pool.coming.push_back(std::move(owned));
     }
     bury(std::move(owned));
 }
 
+// Late, with nobody waiting for it any more: it is there for the next attempt.
+void Upstream::came_up(Connection& connection) {
+    Pool& pool = connection.pool();
+    const auto it = find(pool.coming, connection);
+    if (it == pool.coming.end()) return;
+    pool.idle.push_back(std::move(*it));
+    pool.coming.erase(it);
+    connection.idle_since = loop_.now();
+}
+
 void Upstream::drop_idle(Connection& connection) {
-    auto& idle = connection.pool().idle;
-    const auto it =
-        std::find_if(idle.begin(), idle.end(), [&](const auto& c) { return c.get() == &connection; });
-    if (it == idle.end()) return;
-    auto owned = std::move(*it);
-    idle.erase(it);
-    bury(std::move(owned));
+    for (auto* list : {&connection.pool().idle, &connection.pool().coming})
+        if (const auto it = find(*list, connection); it != list->end()) {
+            auto owned = std::move(*it);
+            list->erase(it);
+            return bury(std::move(owned));
+        }
 }
 
 // Closed at once; the object may be in the middle of a call of its own and goes at the next turn.
@@ -280,22 +310,39 @@
         pool->listed = t.entry.state == HostState::up;
         if (t.endpoint) pool->endpoint = t.endpoint;
     }
-    for (auto& [name, pool] : pools_) {
-        for (auto& c : pool->idle)
-            if (!pool->listed || !c->at(pool->endpoint)) bury(std::move(c));
-        std::erase(pool->idle, nullptr);
+    for (auto& [name, pool] : pools_)
+        close_unused(*pool, [&](const Connection& c) { return !pool->listed || !c.at(pool->endpoint); });
+}
+
+// A host that is not listed as ready wants nothing new: what has not gone out to it goes to another. Called
+// once the core knows as well, so that it does not choose the same one again.
+void Upstream::take_back_unlisted() {
+    std::vector<core::AttemptKey> unsent;
+    for (const auto& [name, pool] : pools_)
+        for (const auto& c : pool->in_use)
+            if (!pool->listed && !c->probing() && !c->handed_over()) unsent.push_back(c->key());
+    for (const core::AttemptKey& key : unsent)
+        if (const auto it = by_key_.find(key); it != by_key_.end()) it->second->take_back();
+}
+
+template <typename Goes>
+void Upstream::close_unused(Pool& pool, Goes goes) {
+    for (auto* list : {&pool.idle, &pool.coming}) {
+        for (auto& c : *list)
+            if (goes(*c)) bury(std::move(c));
+        std::erase(*list, nullptr);
     }
 }
 
 // Closes what has idled too long and forgets hosts that are gone.
 void Upstream::sweep() {
-    for (auto& [name, pool] : pools_) {
-        for (auto& c : pool->idle)
-            if (loop_.now() - c->idle_since >= limits_.idle) bury(std::move(c));
-        std::erase(pool->idle, nullptr);
-    }
+    for (auto& [name, pool] : pools_)
+        close_unused(*pool, [&](const Connection& c) {
+            return loop_.now() - c.idle_since >= (c.connected() ? limits_.idle : coming_most);
+        });
     std::erase_if(pools_, [](const auto& p) {
-        return !p.second->listed && p.second->idle.empty() && p.second->in_use.empty();
+        return !p.second->listed && p.second->idle.empty() && p.second->coming.empty() &&
+               p.second->in_use.empty();
     });
     loop_.after(sweep_period, [this, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired()) sweep();
--- a/src/upstream/resp/pool.h
+++ b/src/upstream/resp/pool.h
@@ -56,9 +56,12 @@
     void send(const core::AttemptKey& key, const std::string& host,
               std::shared_ptr<const platform::OutCommand> command, Micros within);
     void cancel(const core::AttemptKey& key);  // closes the attempt's connection; nothing more is told of it
+    // Takes back an attempt that has not gone out whole; false where it has, or is not known.
+    bool withdraw(const core::AttemptKey& key);
     void probe(const std::string& host);
     // Where hosts listen. A connection belongs to the uid and the address at which it was opened.
     void hosts_changed(const platform::TargetList& list);
+    void take_back_unlisted();  // attempts that have not gone out to hosts that are not ready any more: moot
 
     struct Stats {
         std::size_t open = 0, hosts = 0;
@@ -71,7 +74,13 @@
     struct Pool;
     Pool* pool(const std::string& host);
     Connection* take(Pool& pool);
+    static std::vector<std::unique_ptr<Connection>>::iterator find(
+        std::vector<std::unique_ptr<Connection>>& among, const Connection& connection);
     void release(Connection& connection, bool reusable);
+    void came_up(Connection& connection);
+    // Closes what `goes` says of those that carry nothing.
+    template <typename Goes>
+    void close_unused(Pool& pool, Goes goes);
     void drop_idle(Connection& connection);
     bool make_room();
     void bury(std::unique_ptr<Connection> connection);
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -53,6 +53,7 @@
     bool probing() const { return key_ == no_key; }
     bool busy() const { return request_ != nullptr; }
     const core::AttemptKey& key() const { return key_; }
+    bool handed_over() const { return connected_ && stream_.queued() == 0; }  // all of the request
     Pool& pool() { return pool_; }
     event::Stream& stream() { return stream_; }
     Micros idle_since{0};
@@ -127,7 +128,7 @@
         const bool wanted = std::exchange(wanted_, false);
         // A request that is still being written has been answered early: its rest would be read as the next
         // one.
-        const bool reusable = !unusable_ && !more_bytes && stream_.queued() == 0 && !stream_.closed();
+        const bool reusable = !unusable_ && !more_bytes && handed_over() && !stream_.closed();
         const core::AttemptKey key = key_;
         auto trailers = std::move(trailers_);
         trailers_.clear();
@@ -230,6 +231,11 @@
     const auto it = by_key_.find(key);
     if (it != by_key_.end()) it->second->abandon();
 }
+bool Upstream::withdraw(const core::AttemptKey& key) {
+    const auto it = by_key_.find(key);
+    if (it == by_key_.end() || it->second->handed_over()) return false;
+    return it->second->abandon(), true;
+}
 void Upstream::read(const core::AttemptKey& key, bool on) {
     const auto it = by_key_.find(key);
     if (it != by_key_.end()) it->second->stream().read(on);
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -52,6 +52,8 @@
     void send(const core::AttemptKey& key, const std::string& host,
               std::shared_ptr<const OutRequest> request);
     void cancel(const core::AttemptKey& key);  // closes the attempt's connection; nothing more is told of it
+    // Takes back an attempt that has not gone out whole; false where it has, or is not known.
+    bool withdraw(const core::AttemptKey& key);
     void read(const core::AttemptKey& key, bool on);  // back pressure
     void probe(const std::string& host);
     // Idle connections to hosts that are not listed any more are closed; those in use end with their
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -25,7 +25,8 @@
     Micros now = 1s;
     std::multimap<Micros, Timer> timers;
     std::vector<std::pair<AttemptKey, std::string>> sends;
-    std::vector<AttemptKey> cancels;
+    std::vector<AttemptKey> cancels, withdrawn;
+    bool unsent = false;  // attempts are still waiting for their connections
     std::vector<std::pair<RequestId, Final>> finals;
     std::vector<RequestId> cuts;
     std::function<void(const AttemptKey&, const std::string&)> on_send;
@@ -46,6 +47,10 @@
         if (on_send) on_send(key, to);
     }
     void cancel(const AttemptKey& key) override { cancels.push_back(key); }
+    bool withdraw(const AttemptKey& key) override {
+        if (unsent) withdrawn.push_back(key);
+        return unsent;
+    }
     void probe(const std::string&) override {}
     void tell(int, const std::string&) override {}
     void finish(RequestId id, const Final& f) override { finals.emplace_back(id, f); }
@@ -214,3 +219,15 @@
     EXPECT_TRUE(account_set("x", 4, 0).holds(3, 4)) << "0 spreads over all";
     EXPECT_TRUE(account_set("x", 4, 9).holds(0, 4));
 }
+
+TEST(Core, WhatHasNotGoneOutIsTakenBackWhenItsRequestIsOver) {
+    World w(settings());
+    w.unsent = true;
+    const RequestId id = w.take();
+    ASSERT_EQ(w.sends.size(), 1u);
+    w.core->client_left(w.now, id);
+    ASSERT_EQ(w.withdrawn.size(), 1u);
+    EXPECT_EQ(w.withdrawn[0].request, id);
+    EXPECT_EQ(w.core->held(), 0u) << "nothing is waited for";
+    EXPECT_EQ(w.sends.size(), 1u) << "nor sent again";
+}
--- /dev/null
+++ b/tests/node/endings_test.cpp
@@ -0,0 +1,187 @@
+// What is still owed when something ends: each bad order is made by lining things up before the loop runs.
+#include <sys/socket.h>
+
+#include "tests/node/rig.h"
+
+using namespace node_test;
+
+namespace {
+const std::string pong = "+PONG\r\n";
+std::string ping() { return "*1\r\n$4\r\nPING\r\n"; }
+std::string answer(std::uint64_t id) { return bulk("for " + hex(id)); }
+// A client whose bytes, and end, are in the system before the node looks.
+event::Fd raw(const TestNode& n, const std::string& bytes) {
+    event::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    sockaddr_in at{};
+    at.sin_family = AF_INET, at.sin_port = htons(static_cast<std::uint16_t>(n.node->port()));
+    at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    EXPECT_EQ(::connect(fd.get(), reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
+    EXPECT_EQ(::send(fd.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+    return fd;
+}
+std::string all_that_comes(int fd, bool& reset) {
+    std::string got;
+    char buffer[4096];
+    ssize_t n = 0;
+    while ((n = ::recv(fd, buffer, sizeof buffer, MSG_DONTWAIT)) > 0)
+        got.append(buffer, static_cast<std::size_t>(n));
+    reset = n < 0 && errno == ECONNRESET;
+    return got;
+}
+}  // namespace
+
+TEST(ClientEnds, AnAttemptWhoseConnectionIsStillComingUpNeverBegins) {
+    LateHost late;
+    TestNode n({0, 256, 1000, 64, 3000, late.target("s-1")});
+    {
+        auto c = n.connect();
+        c->stream.write(submit(1, "SHEET"));
+        n.pass(50ms);
+    }  // gone before the connection stands
+    n.pass(10ms);
+    EXPECT_TRUE(n.run([&] { return late.bytes() > 0 || late.taken() > 0; }, 1800ms)) << "it does come up";
+    n.pass(50ms);
+    EXPECT_EQ(late.bytes(), 0u);
+}
+
+TEST(ClientEnds, ARequestWhoseClientHasGoneInTheSameMomentIsNotSentOn) {
+    TestNode n;
+    { const event::Fd gone = raw(n, query(1) + query(2)); }
+    n.pass(50ms);
+    EXPECT_EQ(n.commands(), 0u);
+    EXPECT_EQ(n.talk(query(1), answer(1).size()), answer(1));
+}
+
+TEST(ClientEnds, IsSeenBehindCommandsThatWaitForTheirTurn) {
+    TestNode n;
+    n.hosts[0]->respond = [](Accepting::Peer&, const Words&) {};
+    {
+        auto c = n.connect();
+        std::string many = query(1);
+        for (int i = 0; i < 100; ++i) many += ping();
+        c->stream.write(many);
+        ASSERT_TRUE(n.run([&] { return n.commands() == 1; }));
+        n.pass(20ms);
+    }
+    n.pass(20ms);
+    n.hosts[0]->respond = [](Accepting::Peer& p, const Words&) { p.stream.write(served("later")); };
+    EXPECT_EQ(n.talk(query(1), 5, 300ms), bulk("later")) << "its id is free again";
+}
+
+TEST(ClientEnds, NoFurtherAttemptBeginsForOneThatHasGone) {
+    // The host's bad answer and the client's end lie in their sockets before the loop sees either.
+    for (const bool end_first : {false, true}) {
+        TestNode n({2});
+        Accepting::Peer* host = nullptr;
+        for (auto& h : n.hosts) h->respond = [&](Accepting::Peer& p, const Words&) { host = &p; };
+        event::Fd c = raw(n, query(1));
+        ASSERT_TRUE(n.run([&] { return host != nullptr; }));
+        if (end_first) c.reset();
+        host->stream.write("-ERR failed\r\n");
+        c.reset();
+        n.pass(100ms);
+        EXPECT_EQ(n.commands(), 1u) << end_first;
+    }
+}
+
+TEST(HostDrains, WhatHasNotGoneOutToItGoesToAnotherAtOnce) {
+    LateHost late;
+    TestNode n({0, 256, 1000, 64, 5000, late.target("s-1")});
+    ASSERT_TRUE(n.run([&] { return n.discovery->asked.size() == 1; }));
+    auto c = n.connect();
+    c->stream.write(submit(1, "SHEET"));
+    n.pass(50ms);
+    Host other(n.loop);
+    n.discovery->say(Discovery::list(42, false, late.target("s-1", "draining") + "," + other.target("s-2")));
+    EXPECT_TRUE(n.run([&] { return c->got == answer(1); }, 500ms)) << c->got;
+    EXPECT_EQ(other.commands.size(), 1u);
+    EXPECT_EQ(late.bytes(), 0u);
+}
+
+TEST(Endings, ALastLineReachesAClientWhoseBytesWereNotAllRead) {
+    TestNode n;
+    const event::Fd c = raw(n, "*x\r\n" + std::string(100'000, 'x'));
+    n.pass(50ms);
+    bool reset = false;
+    EXPECT_EQ(all_that_comes(c.get(), reset), "-ERR Protocol error: expected an array of bulk strings\r\n");
+    EXPECT_FALSE(reset);
+}
+
+TEST(Endings, WhatComesAfterItsOwnEndIsReadAndNeverSentOn) {
+    TestNode n;
+    const event::Fd c = raw(n, "*x\r\n");
+    n.pass(20ms);
+    const std::string late = query(1);
+    EXPECT_EQ(::send(c.get(), late.data(), late.size(), MSG_NOSIGNAL), static_cast<ssize_t>(late.size()));
+    n.pass(20ms);
+    bool reset = false;
+    EXPECT_EQ(all_that_comes(c.get(), reset), "-ERR Protocol error: expected an array of bulk strings\r\n");
+    EXPECT_FALSE(reset);
+    EXPECT_EQ(n.commands(), 0u);
+}
+
+TEST(Endings, AClientThatSendsWithoutEndAfterItsErrorIsClosed) {
+    TestNode n;
+    auto c = n.connect();
+    c->stream.write("*x\r\n" + std::string(8'000'000, 'x'));
+    EXPECT_TRUE(n.run([&] { return c->broken; }, 1s)) << "not read for ever";
+}
+
+TEST(Endings, ClientsThatDoNotEndWhenTheyAreToDoNotKeepOthersOut) {
+    TestNode n({1, 64});
+    std::vector<event::Fd> stay;
+    for (int i = 0; i < 60; ++i) {
+        stay.push_back(raw(n, "*x\r\n"));
+        n.pass(2ms);
+    }
+    EXPECT_EQ(n.talk(query(1), answer(1).size(), 1s), answer(1));
+}
+
+TEST(DrainEnds, ARequestInHandIsNeverLostToTheEndOfTheDrain) {
+    TestNode n;
+    Accepting::Peer* host = nullptr;
+    n.hosts[0]->respond = [&](Accepting::Peer& p, const Words&) { host = &p; };
+    auto c = n.connect();
+    c->stream.write(submit(1, "SHEET"));
+    ASSERT_TRUE(n.run([&] { return host != nullptr; }));
+    bool done = false;
+    n.node->drain(0ms, 100ms, [&] { done = true; });
+    n.pass(250ms);
+    EXPECT_FALSE(done) << "it is still owed";
+    host->stream.write(served("for " + hex(1)));
+    EXPECT_TRUE(n.run([&] { return done; }, 2s));
+    EXPECT_EQ(c->got, answer(1));
+}
+
+TEST(DrainEnds, WhatComesLateInItIsAnsweredBeforeItsEnd) {
+    TestNode n;
+    Accepting::Peer* host = nullptr;
+    n.hosts[0]->respond = [&](Accepting::Peer& p, const Words&) { host = &p; };
+    auto c = n.connect();
+    c->stream.write(submit(1, "SHEET"));
+    ASSERT_TRUE(n.run([&] { return host != nullptr; }));
+    n.node->drain(0ms, 400ms, [] {});
+    n.pass(50ms);
+    n.hosts[0]->respond = [](Accepting::Peer&, const Words&) {};
+    c->stream.write(submit(2, "SHEET") + ping());
+    n.pass(20ms);
+    host->stream.write(served("for " + hex(1)));
+    ASSERT_TRUE(n.run([&] { return c->got.ends_with(pong); }, 400ms)) << "long before its own time";
+    EXPECT_TRUE(c->got.starts_with(answer(1) + "-")) << c->got;
+}
+
+TEST(DrainEnds, AClientThatGoesOnSendingIsEndedToo) {
+    TestNode n;
+    auto c = n.connect();
+    bool done = false;
+    n.node->drain(0ms, 300ms, [&] { done = true; });
+    int sent = 0;
+    EXPECT_TRUE(n.run(
+        [&] {
+            if (!c->over()) c->stream.write(ping()), ++sent;
+            else c->stream.close();
+            return done;
+        },
+        3s));
+    EXPECT_GT(sent, 0);
+}
--- a/tests/node/settings.h
+++ b/tests/node/settings.h
@@ -6,7 +6,8 @@
 namespace node_test {
 
 inline std::string config_json(const std::string& discovery = "127.0.0.1:1", const std::string& targets = "",
-                               int sockets = 256, double rate = 1000, int memory_mb = 64) {
+                               int sockets = 256, double rate = 1000, int memory_mb = 64,
+                               int connect_ms = 250) {
     const std::string one =
         R"({"uid":"s-1","endpoint":"127.0.0.1:2","az":"a","model":"m","pod_group":3,"state":"ready","capacity_hint":1,"boot_ms":0})";
     return R"({"name":"n0","listen":"127.0.0.1:0","discovery":")" + discovery +
@@ -19,7 +20,8 @@
 "tiersOfService":[{"name":"team","rate":)" +
            std::to_string(rate) + R"(,"mostAtOnce":)" + std::to_string(rate) +
            R"(}],
-"ceilings":{"cancel":true,"connIdleUs":15000000,"connectTimeoutUs":250000,"maxAttempts":3,"maxRetryAfterUs":2000000,
+"ceilings":{"cancel":true,"connIdleUs":15000000,"connectTimeoutUs":)" +
+           std::to_string(connect_ms) + R"(000,"maxAttempts":3,"maxRetryAfterUs":2000000,
  "mayDuplicate":false,"peers":false,"probes":false,"retryAfter":true},
 "familyInfo":{"unitsTop":4,"mailPerS":100},
 "reporting":{"how":"inline","names":["backlog"]},
