--- a/src/control.cpp
+++ b/src/control.cpp
@@ -561,9 +561,8 @@
         const RequestClass& k = s_.classes[q.ask.request_class];
         if (!q.maybe_ran || k.effect == Effect::safe) return true;
         if (k.effect == Effect::unsafe || now_ - q.first_maybe >= k.repeat_window) return false;
-        return k.repeat_scope == RepeatScope::all ||
-               (k.repeat_scope == RepeatScope::zone ? h.entry.zone == q.group_zone
-                                                    : h.entry.cell == q.group_cell);
+        if (k.repeat_scope == RepeatScope::zone) return h.entry.zone == q.group_zone;
+        return k.repeat_scope == RepeatScope::all || h.entry.cell == q.group_cell;
     }
 
     // Requests at a host: by its own word while that is fresh, with what went there since, else by estimate.
@@ -675,10 +674,7 @@
     void send_to(Request& q, Host& h) {
         Customer& c = *q.customer;
         const Plan* p = plan_of(c);
-        if (!q.sent && p && p->hard_rate > 0) {
-            touch(c);
-            c.hard_level -= q.ask.units;
-        }
+        if (!q.sent && p && p->hard_rate > 0) touch(c), c.hard_level -= q.ask.units;
         c.hard_reserved -= std::exchange(q.reserved, 0);
         if (!q.sent) retry_earned_.add(1, now_, long_memory_s);
         q.sent = true;
@@ -774,7 +770,7 @@
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
         if (a.outcome == Outcome::error || a.outcome == Outcome::reset || silent) fail(h, 1);
-        if (a.outcome == Outcome::connect_failed) fail(h, eject_after);
+        else if (a.outcome == Outcome::connect_failed) fail(h, eject_after);
     }
     void fail(Host& h, int weight) {
         h.failures += weight;
@@ -810,8 +806,7 @@
             if (a.settled) forget(q);
             else {
                 if (!never_ran && !q.maybe_ran) {
-                    q.maybe_ran = true;
-                    q.first_maybe = q.last_sent;
+                    q.maybe_ran = true, q.first_maybe = q.last_sent;
                     if (host != hosts_.end())
                         q.group_zone = host->second.entry.zone, q.group_cell = host->second.entry.cell;
                 }
@@ -962,8 +957,7 @@
         const auto it = asks_.find(given.nonce);
         if (it == asks_.end() || it->second.to != from) return;
         ask_s_ += answer_weight * (seconds(now_ - it->second.sent) - ask_s_);
-        if (now_ - it->second.sent > 2 * due())
-            given.hard = 0;  // an own stall: the giver's part has refilled
+        if (now_ - it->second.sent > 2 * due()) given.hard = 0;  // an own stall: the giver's has refilled
         receive(close(it), given);
     }
 
@@ -993,10 +987,8 @@
         const auto kind = static_cast<TimerKind>(t.token % timer_kinds);
         const std::uint64_t about = t.token / timer_kinds;
         if (kind == TimerKind::part) return part_overdue(static_cast<std::uint32_t>(about));
-        if (kind == TimerKind::flush) {
-            Peer& peer = peers_[static_cast<int>(about)];
-            return peer.flushing = false, flush(static_cast<int>(about), peer);
-        }
+        const int rank = static_cast<int>(about);
+        if (kind == TimerKind::flush) return peers_[rank].flushing = false, flush(rank, peers_[rank]);
         if (kind == TimerKind::beat && about == 0) return beat();
         const auto it = requests_.find(about);
         if (it == requests_.end()) return pump();
@@ -1020,22 +1012,20 @@
         if (now_ - swept_at_ < sweep_period) return;
         swept_at_ = now_;
         list_hosts();  // and ages out who is idle; a customer that still has requests in hand stays
-        std::erase_if(peers_, [this](const auto& p) { return now_ - p.second.tokens_at >= idle_after; });
-        std::erase_if(ledgers_, [this](const auto& l) { return now_ - l.second.touched >= idle_after; });
-        std::erase_if(customers_, [this](const auto& c) {
-            return now_ - c.second.last_use >= idle_after && c.second.requests == 0 && c.second.nonce == 0 &&
-                   !c.second.lined;
-        });
+        const auto old = [this](Micros at) { return now_ - at >= idle_after; };
+        std::erase_if(peers_, [&](const auto& p) { return old(p.second.tokens_at); });
+        std::erase_if(ledgers_, [&](const auto& l) { return old(l.second.touched); });
+        const auto done = [&](const Customer& c) { return !c.requests && c.nonce == 0 && !c.lined; };
+        std::erase_if(customers_, [&](const auto& c) { return old(c.second.last_use) && done(c.second); });
     }
 
     Settings s_;
     std::mt19937_64 random_;
     Micros boot_, now_{0};
     Actions* actions_ = nullptr;
-    Micros last_beat_{0}, stalled_at_{0}, swept_at_{0};
+    Micros last_beat_{0}, stalled_at_{0}, swept_at_{0}, heard_since_{0};
     std::uint32_t next_nonce_ = 1;
     int heard_ = 0, heard_before_ = 0;  // peers that spoke in this window and the one before
-    Micros heard_since_{0};
     std::unordered_map<std::string, Customer> customers_;
     std::unordered_map<std::uint32_t, Ledger> ledgers_;  // by hash of the customer's name
     std::unordered_map<std::uint32_t, Ask> asks_;        // by nonce
@@ -1049,8 +1039,8 @@
     std::size_t warm_ = 0;
     Fading warm_sent_, work_out_, retry_earned_, retry_spent_;
     double ask_s_ = 0, answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0, limit_ = limit_least;
-    bool pressed_ = false;
     int out_ = 0;  // own attempts out
+    bool pressed_ = false;
 };
 
 Gateway::Gateway(Settings settings, std::uint64_t seed, Micros now)
