Module: cold hosts by the mean of 30 s, silence of a vanished host is not load

At fault: send_to() divided what few warm hosts got by all hosts, of the last 5 s, so cold ones got less the more of them there were; judge() took time-outs of hosts that said nothing at all for slow answers.

Now a cold host's share is the mean over the time that hosts were warm, memory 30 s, and half of what fells it (0.4 before; the mean of a half loaded fleet is half of its capacity again). A host silent all along cuts no limit and does not press. A refusal tells no longer wait than clients heed (max_retry_after). An attempt for which this gateway has no room is moot, no host is blamed.

Three tests, each seen to fail on the module before.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -38,7 +38,8 @@
 constexpr double margin_answers = 1.3, margin_most = 0.8;  // kept for the answer: mean times, part of the aim
 constexpr double limit_start = 6, limit_least = 2, limit_most = 128;  // attempts at one host, by all gateways
 constexpr double limit_trust = 10;  // answers by which a host's own limit outweighs the fleet's
-constexpr double long_memory_s = 10, warm_memory_s = 5;  // memory of answers and attempts; of warm hosts
+constexpr double long_memory_s = 10, warm_memory_s = 5;  // memory of answers and attempts; of work out
+constexpr double cold_memory_s = 30;  // of what warm hosts get, by which cold ones are measured
 constexpr double limit_growth = 1, limit_cut = 0.9;  // over the limit for a good answer near it; a bad one
 constexpr double limit_slow_part = 0.25;             // answer time as part of the aim that cuts the limit
 constexpr double silent_answers = 3.5;  // expected answers missing when silence is evidence (e^-3.5 = 3%)
@@ -47,7 +48,7 @@
 constexpr int eject_after = 3;         // failures in a row that eject a host; a reset tells of one connection
 constexpr Micros eject_first = 500ms, eject_most = 8s, shun_for = 20s;  // doubled each time; one kind, class
 constexpr double retry_share = 0.15, retry_floor = 5;  // further attempts earned by each first one, always
-constexpr double cold_caution = 0.4;     // of what fells it, were it to get the even share of a warm one
+constexpr double cold_caution = 0.5;     // of what fells it, were it to get the even share of a warm one
 constexpr Micros cold_chance_most = 5s;  // time since a cold host was last looked at that counts for its part
 constexpr double own_view = 2;  // attempts out by which the own view of a host's load outweighs the mean
 constexpr std::size_t sampled = 12, kept = 32, outbox_most = 200;  // hosts looked at, of those used; messages
@@ -523,7 +524,11 @@
         timer(wait, q.ask.id, TimerKind::release);
     }
 
-    Micros advice(Micros wait) const { return s_.may_advise_retry ? wait : 0us; }
+    // No longer than clients heed, where that is told.
+    Micros advice(Micros wait) const {
+        const Micros most = s_.max_retry_after > 0us ? s_.max_retry_after : Micros::max();
+        return s_.may_advise_retry ? std::min(wait, most) : 0us;
+    }
 
     // ---- choice of a host -------------------------------------------------------------------------------
 
@@ -534,7 +539,8 @@
     }
 
     // A cold host gets the even share of warm ones, scaled to the capacity it surely has, as a chance: the
-    // part of a request come due since it was last considered. In sum over all gateways the share holds.
+    // part of a request come due since it was last considered. In sum over all gateways the share holds. It
+    // is the mean over the time that hosts were warm: where most are cold the few warm ones must not set it.
     // Guards against herds on fresh hosts, retries too; harms where requests cost more than their units say.
     bool cold_turn(Host& h, double units) {
         const double rate = cold_caution * s_.fall_multiple * capacity_share(h) * warm_rate_;
@@ -685,10 +691,12 @@
         if (h.out++ == 0) h.last_answer = now_;
         ++out_;
         mean_units_ += answer_weight * (q.ask.units - mean_units_);
-        if (capacity_share(h) >= 1) warm_sent_.add(q.ask.units, now_, warm_memory_s);
-        const std::size_t among = 2 * warm_ >= order_.size() ? warm_ : order_.size();
-        const double over = static_cast<double>(std::min(among, kept)) + 1;
-        warm_rate_ = warm_sent_.value(now_, warm_memory_s) / (warm_memory_s * over);
+        const double warm = static_cast<double>(std::min(warm_, kept));
+        const Micros since = std::min(now_ - std::exchange(sent_at_, now_), cold_chance_most);
+        warm_time_.add(warm * seconds(since), now_, cold_memory_s);
+        if (capacity_share(h) >= 1) warm_sent_.add(q.ask.units, now_, cold_memory_s);
+        const double time = warm_time_.value(now_, cold_memory_s) + warm_memory_s;
+        warm_rate_ = warm_sent_.value(now_, cold_memory_s) / time;
         actions_->push_back(SendAttempt{q.ask.id, h.entry.host, std::max(q.deadline - now_, 1us)});
         const double aim = seconds(s_.classes[q.ask.request_class].aim);
         timer(micros(std::clamp(silent_answers * answer_s_, check_earliest * aim, check_latest * aim)),
@@ -750,11 +758,13 @@
             h.answer_s += h.answer_s > 0 ? answer_weight * (took - h.answer_s) : first;
             answer_s_ += (answer_s_ > 0 ? answer_weight : 1) * (took - answer_s_);
         }
-        // A time-out counts as slow or bad by its length, and as the host's failure only if that was silent
-        // all along. Guards against clients of little patience and costly requests putting good hosts out.
-        const bool late = a.outcome == Outcome::timeout, silent = late && h.last_answer + a.took < now_;
-        const bool bad =
-            !fast(aim_s) && (a.outcome == Outcome::full || (late && took > limit_slow_part * aim_s));
+        // A time-out counts as slow or bad by its length if the host answered others, and as its failure only
+        // if it was silent since before. Guards against clients of little patience and costly requests
+        // putting good hosts out.
+        const bool late = a.outcome == Outcome::timeout;
+        const bool silent = h.last_answer + a.took <= now_, none = h.last_answer + a.took < now_;
+        const bool waited = late && !silent && took > limit_slow_part * aim_s;
+        const bool bad = !fast(aim_s) && (a.outcome == Outcome::full || waited);
         h.answers.add(1, now_, long_memory_s);
         const bool cut = bad || (good && took > limit_slow_part * aim_s);
         const auto learn = [&](double& most, double least, bool near) {
@@ -769,8 +779,8 @@
             slow_share_ += slow_weight * (slow - slow_share_);
             pressed_ = slow_share_ > (pressed_ ? relieved_below : pressed_above);
         }
-        if (a.outcome == Outcome::error || a.outcome == Outcome::reset || silent) fail(h, 1);
-        else if (a.outcome == Outcome::connect_failed) fail(h, eject_after);
+        if (a.outcome == Outcome::error || a.outcome == Outcome::reset || (late && none)) fail(h, 1);
+        if (a.outcome == Outcome::connect_failed) fail(h, eject_after);
     }
     void fail(Host& h, int weight) {
         h.failures += weight;
@@ -1037,7 +1047,8 @@
     std::deque<RequestId> waiting_;
     std::vector<Host*> order_;  // all hosts, in this gateway's own order
     std::size_t warm_ = 0;
-    Fading warm_sent_, work_out_, retry_earned_, retry_spent_;
+    Micros sent_at_{0};
+    Fading warm_sent_, warm_time_, work_out_, retry_earned_, retry_spent_;
     double ask_s_ = 0, answer_s_ = 0, slow_share_ = 0, mean_units_ = 1, warm_rate_ = 0, limit_ = limit_least;
     int out_ = 0;  // own attempts out
     bool pressed_ = false;
--- a/src/upstream/resp/pool.cpp
+++ b/src/upstream/resp/pool.cpp
@@ -227,8 +227,9 @@
     Pool* to = pool(host);
     Connection* connection = to ? take(*to) : nullptr;
     if (!connection) {
+        // Without room here nothing was tried, and the host is not to blame.
         Answer a;
-        a.outcome = Outcome::connect_failed;
+        a.outcome = to && to->endpoint ? Outcome::moot : Outcome::connect_failed;
         return events_.attempt_ended(key, host, 0us, std::move(a));
     }
     by_key_[key] = connection;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -641,6 +641,84 @@
     EXPECT_GT(run(8s), 20);  // and it is not starved
 }
 
+// Found on a day on which hosts vanish in turns: with most of them cold the few warm ones were measured over
+// all, the cold ones got next to nothing, and so the pressure went on.
+TEST(Cold, WhereMostAreColdTheyKeepTheShareThatWarmOnesHadBefore) {
+    Settings s = one_gateway();
+    s.plans[0].rate = s.plans[0].burst = 0;
+    std::vector<HostEntry> hosts;
+    for (char c = 'a'; c <= 'h'; ++c) hosts.push_back(host(std::string(1, c)));
+    int few = 0;
+    constexpr int seeds = 20;
+    for (int seed = 1; seed <= seeds; ++seed) {
+        Bench b(s, hosts, static_cast<std::uint64_t>(seed));
+        RequestId id = 1;
+        const auto run = [&](Micros span) {  // 20 requests a second, answered at once
+            std::map<std::string, int> count;
+            for (Micros t{0}; t < span; t += 50ms) {
+                b.pass(50ms);
+                const auto sent = of<SendAttempt>(b.ask(id));
+                if (!sent.empty()) b.end(id, sent[0].host, Outcome::good, 30ms), ++count[sent[0].host];
+                ++id;
+            }
+            return count;
+        };
+        run(20s);
+        HostsChanged change{false, {}};
+        for (char c = 'c'; c <= 'h'; ++c) {
+            change.entries.push_back(host(std::string(1, c)));
+            change.entries.back().started = b.now;
+        }
+        b.feed(change);
+        const auto all = run(6s);
+        for (const auto& [name, n] : all) few += name >= "c" ? n : 0;
+    }
+    // Warm ones had 2.5 a second each; half of twice that, at a fifth to two thirds of the capacity, for six
+    // hosts in 6 s: some 40. Measured over all hosts it was half of that.
+    EXPECT_GT(few, 30 * seeds);
+    EXPECT_LT(few, 60 * seeds);
+}
+
+// Found on the same day: what vanished hosts left unanswered cut the limits of those that answered.
+TEST(Health, WhatASilentHostLeavesUnansweredIsNotTakenForLoad) {
+    Settings s = one_gateway();
+    s.second_copies = s.may_cancel = false;
+    std::vector<HostEntry> hosts;
+    for (char c = 'a'; c <= 'x'; ++c) hosts.push_back(host(std::string(1, c)));
+    Bench b(s, hosts);
+    RequestId id = 1000;
+    int unanswered = 0;
+    const auto run = [&](int requests, const std::string& vanished_from) {
+        for (int i = 0; i < requests; ++i) {
+            const auto sent = of<SendAttempt>(b.ask(++id, 0, 2s, -1, 0, "rateless"));
+            ASSERT_EQ(sent.size(), 1u);
+            const bool gone = sent[0].host >= vanished_from;
+            unanswered += gone;
+            // Answers take over a quarter of the aim, so that time-outs may tell of load.
+            b.pass(gone ? 500ms : 210ms);
+            b.end(id, sent[0].host, gone ? Outcome::timeout : Outcome::good, gone ? 500ms : 210ms, 0, gone);
+        }
+    };
+    run(60, "z");
+    run(30, "i");  // two thirds are gone
+    ASSERT_GT(unanswered, 10);
+    // Not pressed: a customer's whole burst goes out at once.
+    int sent = 0;
+    for (int i = 0; i < 2; ++i) sent += static_cast<int>(of<SendAttempt>(b.ask(++id, 1)).size());
+    EXPECT_EQ(sent, 2);
+}
+
+TEST(Refusals, AdviseNoLongerThanClientsHeed) {
+    Settings s = one_gateway();
+    s.max_retry_after = 200ms;
+    Bench b(s);
+    b.pass(2s);
+    for (RequestId id = 1; id <= 4; ++id) b.ask(id);
+    const auto refused = of<Refuse>(b.ask(5));
+    ASSERT_EQ(refused.size(), 1u);
+    EXPECT_EQ(refused[0].retry_after, 200ms);
+}
+
 // Found on throttle days: a host that turned one plan away as full was left alone for all, and the plan came
 // back to it.
 TEST(Health, AHostThatTurnsOnePlanAwayLosesOnlyThatPlan) {
