Requests that must not be repeated go on no connection that has rested; signals before ready

A connection that rests may be closed by its host as a request goes out on it, which then may have run: a class that must not be repeated is lost by that. It goes on connections used within the last second or on a new one now; others use what there is. SIGTERM before the node was ready ended the process by the system's default, with what its listener had accepted: signals are taken from the start on and looked at once the loop runs. Tests: the pool with a limit of 50 ms, and a connection that is late and serves the next attempt.

--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -233,9 +233,10 @@
     mallopt(M_ARENA_MAX, 1);
     mallopt(M_TRIM_THRESHOLD, 256 * 1024);
     mallopt(M_MMAP_THRESHOLD, 256 * 1024);
-    // A SIGHUP before it is ready must not end the process; it is looked at once the loop runs.
+    // Signals before it is ready must not end the process; they are looked at once the loop runs.
     event::Loop loop;
     Node* node = nullptr;
+    Micros longest{0};
     log::Log log(log::Form::readable, log::Level::info, "");
     event::Signal hup(loop, SIGHUP, [&] {
         if (!node) return;
@@ -245,16 +246,18 @@
             log.write(log::Level::error, "configuration_kept", {{"why", std::string(error.what())}});
         }
     });
+    const auto stop = [&] {
+        if (!node) return;
+        const Micros most = std::min(longest, deadline_counted) + killed_after - kill_margin;
+        node->drain(notice, most, [&] { loop.stop(); });
+    };
+    event::Signal term(loop, SIGTERM, stop), interrupt(loop, SIGINT, stop);
     try {
         platform::NodeConfig config = load(path);
-        Micros longest{0};
         for (const RequestClass& c : config.settings.classes) longest = std::max(longest, c.deadline);
         Node running(loop, std::move(config), log);
         node = &running;
         log.write(log::Level::warning, "ready", running.limits());
-        const Micros most = std::min(longest, deadline_counted) + killed_after - kill_margin;
-        const auto stop = [&] { running.drain(notice, most, [&] { loop.stop(); }); };
-        event::Signal term(loop, SIGTERM, stop), interrupt(loop, SIGINT, stop);
         std::function<void()> counts = [&] {
             running.log_counts();
             loop.after(counts_period, counts);
--- a/src/platform/request.cpp
+++ b/src/platform/request.cpp
@@ -124,6 +124,7 @@
     if (cls->safe != asks) return no("c: of the other command");
     if (cls->keyed && !has_key) return no("k: missing");
     r.attempt.request_class = cls->index;
+    r.out.repeatable = cls->safe || cls->keyed;
     r.attempt.plan = plan.value_or(-1);
     r.attempt.units = units.value_or(1);
     // A class's deadline is the whole patience of its clients; a longer one only holds state here.
--- a/src/platform/request.h
+++ b/src/platform/request.h
@@ -19,6 +19,7 @@
     std::string head;                     // up to the list
     std::string before, after;            // the list around the figure of `d`
     std::string tail;                     // the body, if any
+    bool repeatable = true;               // a lost attempt may be followed by another
 };
 
 struct Request {
--- a/src/upstream/resp/pool.cpp
+++ b/src/upstream/resp/pool.cpp
@@ -186,8 +186,10 @@
     return it == pools_.end() ? nullptr : it->second.get();
 }
 
-Upstream::Connection* Upstream::take(Pool& pool) {
-    while (!pool.idle.empty()) {
+// A connection that has rested may be closed by its host just as a request goes out on it, which then ends as
+// one that may have run: no harm to a request that may be repeated, the end of one that must not.
+Upstream::Connection* Upstream::take(Pool& pool, bool repeatable) {
+    while (!pool.idle.empty() && (repeatable || loop_.now() - pool.idle.back()->idle_since < limits_.sure)) {
         auto connection = std::move(pool.idle.back());
         pool.idle.pop_back();
         const bool old = loop_.now() - connection->idle_since >= limits_.idle;
@@ -225,7 +227,7 @@
 void Upstream::send(const core::AttemptKey& key, const std::string& host,
                     std::shared_ptr<const platform::OutCommand> command, Micros within) {
     Pool* to = pool(host);
-    Connection* connection = to ? take(*to) : nullptr;
+    Connection* connection = to ? take(*to, command->repeatable) : nullptr;
     if (!connection) {
         // Without room here nothing was tried, and the host is not to blame.
         Answer a;
@@ -248,7 +250,7 @@
 
 void Upstream::probe(const std::string& host) {
     Pool* to = pool(host);
-    Connection* connection = to ? take(*to) : nullptr;
+    Connection* connection = to ? take(*to, true) : nullptr;
     if (!connection) return events_.probe_ended({host, Outcome::connect_failed, 0us, {}});
     std::string command;
     wire::append_array(command, limits_.ask_load ? 2 : 1);
--- a/src/upstream/resp/pool.h
+++ b/src/upstream/resp/pool.h
@@ -44,7 +44,8 @@
 struct PoolLimits {
     std::size_t connections = 100;  // to all hosts
     Micros connect{250'000}, idle{12'000'000}, probe{250'000};
-    bool ask_load = true;                      // probes ask for the load report
+    Micros sure{1'000'000};  // of rest, by which a request that must not be repeated may still follow
+    bool ask_load = true;    // probes ask for the load report
     std::size_t kept_bytes = 8 * 1024 * 1024;  // of answers under way, over all connections
 };
 
@@ -73,7 +74,7 @@
     class Connection;
     struct Pool;
     Pool* pool(const std::string& host);
-    Connection* take(Pool& pool);
+    Connection* take(Pool& pool, bool repeatable);
     static std::vector<std::unique_ptr<Connection>>::iterator find(
         std::vector<std::unique_ptr<Connection>>& among, const Connection& connection);
     void release(Connection& connection, bool reusable);
--- a/tests/node/endings_test.cpp
+++ b/tests/node/endings_test.cpp
@@ -185,3 +185,64 @@
         3s));
     EXPECT_GT(sent, 0);
 }
+
+TEST(HostEnds, ARequestThatMustNotBeRepeatedGoesOnNoConnectionThatHasRested) {
+    test_support::OnLoop on;
+    Host host(on.loop);
+    struct Ends : upstream_resp::Events {
+        int good = 0;
+        void attempt_ended(const core::AttemptKey&, const std::string&, Micros,
+                           upstream_resp::Answer answer) override {
+            good += answer.outcome == Outcome::good;
+        }
+        void probe_ended(ProbeEnded) override {}
+    } ends;
+    upstream_resp::PoolLimits limits;
+    limits.sure = 50ms;
+    upstream_resp::Upstream up(on.loop, limits, ends);
+    up.hosts_changed(*platform::read_targets(Discovery::list(1, true, host.target("s-1"))));
+    const auto send = [&](RequestId id, bool repeatable) {
+        auto command = std::make_shared<platform::OutCommand>();
+        resp::append_array(command->head, 4);
+        for (const char* w : {"SVC.QUERY", "0000000000000007", "0000000000000001"})
+            resp::append_bulk(command->head, w);
+        command->before = "c=sell,d=", command->repeatable = repeatable;
+        const int before = ends.good;
+        up.send({id, 0}, "s-1", command, 1s);
+        EXPECT_TRUE(on.run([&] { return ends.good == before + 1; }, 1s));
+        return host.peers.size();
+    };
+    EXPECT_EQ(send(1, false), 1u);
+    EXPECT_EQ(send(2, false), 1u) << "used a moment ago";
+    on.pass(80ms);
+    EXPECT_EQ(send(3, false), 2u) << "it has rested";
+    on.pass(80ms);
+    EXPECT_EQ(send(4, true), 2u) << "one that may be repeated uses what there is";
+}
+
+TEST(HostEnds, ALateConnectionServesTheNextAttempt) {
+    LateHost late;
+    test_support::OnLoop on;
+    struct Ends : upstream_resp::Events {
+        std::vector<Outcome> outcomes;
+        void attempt_ended(const core::AttemptKey&, const std::string&, Micros,
+                           upstream_resp::Answer answer) override {
+            outcomes.push_back(answer.outcome);
+        }
+        void probe_ended(ProbeEnded) override {}
+    } ends;
+    upstream_resp::PoolLimits limits;
+    limits.connect = 50ms;
+    upstream_resp::Upstream up(on.loop, limits, ends);
+    up.hosts_changed(*platform::read_targets(Discovery::list(1, true, late.target("s-1"))));
+    auto command = std::make_shared<platform::OutCommand>();
+    command->head = "*1\r\n$4\r\nPING\r\n";
+    up.send({1, 0}, "s-1", command, 1s);
+    ASSERT_TRUE(on.run([&] { return ends.outcomes.size() == 1; }, 1s));
+    EXPECT_EQ(ends.outcomes[0], Outcome::connect_failed);
+    ASSERT_TRUE(on.run([&] { return late.bytes() > 0 || late.taken() > 0; }, 1800ms)) << "it comes up";
+    on.pass(20ms);
+    up.send({2, 0}, "s-1", command, 1s);
+    EXPECT_TRUE(on.run([&] { return late.bytes() > 0; }, 40ms)) << "at once, on the one that was late";
+    EXPECT_EQ(up.stats().opened, 1u);
+}
