--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -141,6 +141,7 @@
                 {"served", whole(c.served)},
                 {"refused", whole(c.refused)},
                 {"refused_quota", whole(refused(RefuseReason::quota) + refused(RefuseReason::open))},
+                {"refused_ceiling", whole(refused(RefuseReason::ceiling))},
                 {"refused_pressed", whole(refused(RefuseReason::pressed))},
                 {"refused_no_host", whole(refused(RefuseReason::no_host))},
                 {"refused_no_answer", whole(refused(RefuseReason::no_answer))},
--- a/tests/node/endings_test.cpp
+++ b/tests/node/endings_test.cpp
@@ -186,17 +186,22 @@
     EXPECT_GT(sent, 0);
 }
 
+namespace {
+// What a pool tells of its attempts.
+struct Ends : upstream_resp::Events {
+    std::vector<Outcome> outcomes;
+    void attempt_ended(const core::AttemptKey&, const std::string&, Micros,
+                       upstream_resp::Answer answer) override {
+        outcomes.push_back(answer.outcome);
+    }
+    void probe_ended(ProbeEnded) override {}
+};
+}  // namespace
+
 TEST(HostEnds, ARequestThatMustNotBeRepeatedGoesOnNoConnectionThatHasRested) {
     test_support::OnLoop on;
     Host host(on.loop);
-    struct Ends : upstream_resp::Events {
-        int good = 0;
-        void attempt_ended(const core::AttemptKey&, const std::string&, Micros,
-                           upstream_resp::Answer answer) override {
-            good += answer.outcome == Outcome::good;
-        }
-        void probe_ended(ProbeEnded) override {}
-    } ends;
+    Ends ends;
     upstream_resp::PoolLimits limits;
     limits.sure = 50ms;
     upstream_resp::Upstream up(on.loop, limits, ends);
@@ -207,9 +212,10 @@
         for (const char* w : {"SVC.QUERY", "0000000000000007", "0000000000000001"})
             resp::append_bulk(command->head, w);
         command->before = "c=sell,d=", command->repeatable = repeatable;
-        const int before = ends.good;
+        ends.outcomes.clear();
         up.send({id, 0}, "s-1", command, 1s);
-        EXPECT_TRUE(on.run([&] { return ends.good == before + 1; }, 1s));
+        EXPECT_TRUE(on.run([&] { return !ends.outcomes.empty(); }, 1s));
+        EXPECT_EQ(ends.outcomes, std::vector<Outcome>{Outcome::good});
         return host.peers.size();
     };
     EXPECT_EQ(send(1, false), 1u);
@@ -223,14 +229,7 @@
 TEST(HostEnds, ALateConnectionServesTheNextAttempt) {
     LateHost late;
     test_support::OnLoop on;
-    struct Ends : upstream_resp::Events {
-        std::vector<Outcome> outcomes;
-        void attempt_ended(const core::AttemptKey&, const std::string&, Micros,
-                           upstream_resp::Answer answer) override {
-            outcomes.push_back(answer.outcome);
-        }
-        void probe_ended(ProbeEnded) override {}
-    } ends;
+    Ends ends;
     upstream_resp::PoolLimits limits;
     limits.connect = 50ms;
     upstream_resp::Upstream up(on.loop, limits, ends);
@@ -246,3 +245,19 @@
     EXPECT_TRUE(on.run([&] { return late.bytes() > 0; }, 40ms)) << "at once, on the one that was late";
     EXPECT_EQ(up.stats().opened, 1u);
 }
+
+TEST(HostEnds, WithoutRoomHereNoHostIsToBlame) {
+    LateHost late;
+    test_support::OnLoop on;
+    Ends ends;
+    upstream_resp::PoolLimits limits;
+    limits.connections = 1;
+    upstream_resp::Upstream up(on.loop, limits, ends);
+    up.hosts_changed(*platform::read_targets(Discovery::list(1, true, late.target("s-1"))));
+    auto command = std::make_shared<platform::OutCommand>();
+    up.send({1, 0}, "s-1", command, 1s);
+    up.send({2, 0}, "s-1", command, 1s);
+    EXPECT_EQ(ends.outcomes, std::vector<Outcome>{Outcome::moot}) << "nothing was tried";
+    up.send({3, 0}, "s-none", command, 1s);
+    EXPECT_EQ(ends.outcomes.back(), Outcome::connect_failed) << "nobody knows where it is";
+}
