HTTP: a test of clients that go while a connection comes up; one late host for both rigs

The late host moves to tests/support, the gateway's rig takes its limits as parameters. Stream peeks in one place.

--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -45,6 +45,10 @@
     else inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in&>(a).sin_addr, text, sizeof text);
     return text;
 }
+ssize_t peek(int fd) {
+    char byte;
+    return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+}
 bool retry_later(int error) { return error == EAGAIN || error == EWOULDBLOCK || error == EINTR; }
 }  // namespace
 
@@ -138,15 +142,13 @@
     owner_.on_broken(error);
 }
 bool Stream::unread() const {
-    char byte;
     if (closed()) return false;
-    const ssize_t n = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t n = peek(fd_.get());
     return n >= 0 || !retry_later(errno);
 }
 bool Stream::left() const {
-    char byte;
     if (closed() || told_end_) return true;
-    const ssize_t n = ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t n = peek(fd_.get());
     return n == 0 || (n < 0 && !retry_later(errno));
 }
 void Stream::close() {
--- a/tests/gateway/host_test.cpp
+++ b/tests/gateway/host_test.cpp
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include "rig.h"
+#include "tests/support/late_host.h"
 
 using namespace rig;
 
@@ -266,3 +267,18 @@
     EXPECT_FALSE(a->over());
     EXPECT_FALSE(b->over());
 }
+
+TEST(Hosts, NothingBeginsForAClientThatHasGoneWhileTheConnectionComesUp) {
+    test_support::LateHost late;
+    Options o;
+    o.hosts = 0, o.other_port = late.port(), o.connect_ms = 3000, o.deadline_ms = 3000;
+    TestGateway g(o);
+    {
+        auto c = g.connect();
+        c->stream.write(post("/a"));
+        g.pass(50ms);
+    }
+    g.pass(10ms);
+    // One that still waits comes up after a second.
+    EXPECT_FALSE(g.run([&] { return late.bytes() > 0; }, 1500ms));
+}
--- a/tests/gateway/rig.h
+++ b/tests/gateway/rig.h
@@ -71,6 +71,8 @@
     int hosts = 1;
     std::string listen, more, description;
     bool accounts = true;
+    int connect_ms = 200, deadline_ms = 1000;
+    int other_port = 0;  // of a host that is not scripted here
 };
 
 class TestGateway : public test_support::OnLoop {
@@ -80,19 +82,20 @@
         char name[] = "/tmp/silverreach-test-XXXXXX";
         folder_ = mkdtemp(name);
         for (int i = 0; i < o.hosts; ++i) hosts.push_back(std::make_unique<ScriptedHost>(loop));
-        list_hosts();
+        list_hosts(o.other_port);
         describe(o.description.empty() ? default_description() : o.description);
         const std::string text =
             R"(listen { address: "127.0.0.1:0" deadline_header: "X-Deadline-Ms" )" + o.listen + R"( }
 api { description: "api.yaml" }
-class { name: "read" aim_ms: 500 deadline_ms: 1000 repeat_window_ms: 2000 }
+class { name: "read" aim_ms: 500 repeat_window_ms: 2000 deadline_ms: )" +
+            std::to_string(o.deadline_ms) + R"( }
 plan { name: "basic" rate: 1000 burst: 1000 }
 plan { name: "tiny" rate: 0.01 burst: 2 }
 )" +
             std::string(o.accounts ? "account { name: \"birds\" plan: \"basic\" key: \"k1\" }\naccount { "
                                      "name: \"wrens\" plan: \"tiny\" key: \"k2\" }\n"
                                    : "") +
-            R"(hosts { file: "hosts.json" connect_ms: 200 }
+            R"(hosts { file: "hosts.json" connect_ms: )" + std::to_string(o.connect_ms) + R"( }
 attempts { most: 3 second_copies: true }
 host_answers { full { status: 503 header: "Full" } }
 seed: 5
@@ -124,13 +127,16 @@
     void write(const std::string& name, const std::string& text) {
         std::ofstream(folder_ + "/" + name, std::ios::binary) << text;
     }
-    void list_hosts() {
+    void list_hosts(int other_port = 0) {
         std::string list;
-        for (const auto& h : hosts)
+        const auto add = [&](int port) {
             list += (list.empty() ? "" : ",") +
                     std::string(
                         R"({"endpoint":{"address":{"socketAddress":{"address":"127.0.0.1","portValue":)") +
-                    std::to_string(h->listener.port()) + "}}}}";
+                    std::to_string(port) + "}}}}";
+        };
+        for (const auto& h : hosts) add(h->listener.port());
+        if (other_port != 0) add(other_port);
         write("hosts.json", R"({"clusterName":"hosts","endpoints":[{"lbEndpoints":[)" + list + "]}]}");
     }
     bool reload() {
--- a/tests/node/endings_test.cpp
+++ b/tests/node/endings_test.cpp
@@ -1,4 +1,5 @@
 // What is still owed when something ends: each bad order is made by lining things up before the loop runs.
+#include <netinet/in.h>
 #include <sys/socket.h>
 
 #include "tests/node/rig.h"
@@ -32,7 +33,7 @@
 
 TEST(ClientEnds, AnAttemptWhoseConnectionIsStillComingUpNeverBegins) {
     LateHost late;
-    TestNode n({0, 256, 1000, 64, 3000, late.target("s-1")});
+    TestNode n({0, 256, 1000, 64, 3000, target(late)});
     {
         auto c = n.connect();
         c->stream.write(submit(1, "SHEET"));
@@ -86,13 +87,13 @@
 
 TEST(HostDrains, WhatHasNotGoneOutToItGoesToAnotherAtOnce) {
     LateHost late;
-    TestNode n({0, 256, 1000, 64, 5000, late.target("s-1")});
+    TestNode n({0, 256, 1000, 64, 5000, target(late)});
     ASSERT_TRUE(n.run([&] { return n.discovery->asked.size() == 1; }));
     auto c = n.connect();
     c->stream.write(submit(1, "SHEET"));
     n.pass(50ms);
     Host other(n.loop);
-    n.discovery->say(Discovery::list(42, false, late.target("s-1", "draining") + "," + other.target("s-2")));
+    n.discovery->say(Discovery::list(42, false, target(late, "draining") + "," + other.target("s-2")));
     EXPECT_TRUE(n.run([&] { return c->got == answer(1); }, 500ms)) << c->got;
     EXPECT_EQ(other.commands.size(), 1u);
     EXPECT_EQ(late.bytes(), 0u);
@@ -233,7 +234,7 @@
     upstream_resp::PoolLimits limits;
     limits.connect = 50ms;
     upstream_resp::Upstream up(on.loop, limits, ends);
-    up.hosts_changed(*platform::read_targets(Discovery::list(1, true, late.target("s-1"))));
+    up.hosts_changed(*platform::read_targets(Discovery::list(1, true, target(late))));
     auto command = std::make_shared<platform::OutCommand>();
     command->head = "*1\r\n$4\r\nPING\r\n";
     up.send({1, 0}, "s-1", command, 1s);
@@ -253,7 +254,7 @@
     upstream_resp::PoolLimits limits;
     limits.connections = 1;
     upstream_resp::Upstream up(on.loop, limits, ends);
-    up.hosts_changed(*platform::read_targets(Discovery::list(1, true, late.target("s-1"))));
+    up.hosts_changed(*platform::read_targets(Discovery::list(1, true, target(late))));
     auto command = std::make_shared<platform::OutCommand>();
     up.send({1, 0}, "s-1", command, 1s);
     up.send({2, 0}, "s-1", command, 1s);
--- a/tests/node/rig.h
+++ b/tests/node/rig.h
@@ -2,12 +2,8 @@
 // to, and raw clients; all on one loop on loopback.
 #pragma once
 
-#include <arpa/inet.h>
 #include <gtest/gtest.h>
-#include <netinet/in.h>
-#include <poll.h>
 #include <signal.h>
-#include <sys/socket.h>
 
 #include <functional>
 #include <memory>
@@ -16,12 +12,14 @@
 
 #include "cli/node.h"
 #include "tests/node/settings.h"
+#include "tests/support/late_host.h"
 #include "tests/support/loop.h"
 
 namespace node_test {
 using namespace silverreach;
 using namespace std::chrono_literals;
 using test_support::Client;
+using test_support::LateHost;
 
 // Accepts connections and hands what comes on each to the test.
 struct Accepting {
@@ -87,53 +85,11 @@
     }
 };
 
-// A host whose connections do not come up until it takes those that wait: its queue is full from the start.
-// The system tries again after a second.
-class LateHost {
-  public:
-    LateHost() : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0)) {
-        sockaddr_in at{};
-        at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-        EXPECT_EQ(::bind(fd_.get(), reinterpret_cast<sockaddr*>(&at), sizeof at), 0);
-        EXPECT_EQ(::listen(fd_.get(), 0), 0);
-        socklen_t size = sizeof at;
-        getsockname(fd_.get(), reinterpret_cast<sockaddr*>(&at), &size);
-        port_ = ntohs(at.sin_port);
-        for (bool up = true; up;) {
-            int error = 0;
-            filling_.push_back(event::connect_to("127.0.0.1", port_, false, error));
-            pollfd look{filling_.back().get(), POLLOUT, 0};
-            up = ::poll(&look, 1, 50) == 1;
-        }
-    }
-    void take_those_that_wait() {
-        for (event::Fd got; (got = event::Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_NONBLOCK)));)
-            taken_.push_back(std::move(got));
-    }
-    // Bytes that have come on any of its connections.
-    std::size_t bytes() {
-        take_those_that_wait();
-        char buffer[4096];
-        for (const event::Fd& fd : taken_)
-            for (ssize_t n; (n = ::recv(fd.get(), buffer, sizeof buffer, 0)) > 0;)
-                bytes_ += static_cast<std::size_t>(n);
-        return bytes_;
-    }
-    std::size_t taken() const {  // beyond those that fill it
-        return taken_.size() - std::min(taken_.size(), filling_.size());
-    }
-    std::string target(const std::string& uid, const std::string& state = "ready") const {
-        return R"({"uid":")" + uid + R"(","endpoint":"127.0.0.1:)" + std::to_string(port_) +
-               R"(","az":"a","model":"m","pod_group":3,"state":")" + state +
-               R"(","capacity_hint":1,"boot_ms":0})";
-    }
-
-  private:
-    event::Fd fd_;
-    int port_ = 0;
-    std::vector<event::Fd> filling_, taken_;
-    std::size_t bytes_ = 0;
-};
+inline std::string target(const LateHost& host, const std::string& state = "ready") {
+    return R"({"uid":"s-1","endpoint":"127.0.0.1:)" + std::to_string(host.port()) +
+           R"(","az":"a","model":"m","pod_group":3,"state":")" + state +
+           R"(","capacity_hint":1,"boot_ms":0})";
+}
 
 struct Discovery : Accepting {
     std::vector<std::string> asked;
