Tests of watch and ends: limits that a busy machine cannot miss

Some of the new tests allowed 8 to 400 ms for what follows at once. Where 'at once' is meant the wait that would come instead is a minute now; other limits only bound a failure.

--- a/tests/node/endings_test.cpp
+++ b/tests/node/endings_test.cpp
@@ -66,7 +66,7 @@
     }
     n.pass(20ms);
     n.hosts[0]->respond = [](Accepting::Peer& p, const Words&) { p.stream.write(served("later")); };
-    EXPECT_EQ(n.talk(query(1), 5, 300ms), bulk("later")) << "its id is free again";
+    EXPECT_EQ(n.talk(query(1), 5), bulk("later")) << "its id is free again";
 }
 
 TEST(ClientEnds, NoFurtherAttemptBeginsForOneThatHasGone) {
@@ -94,7 +94,7 @@
     n.pass(50ms);
     Host other(n.loop);
     n.discovery->say(Discovery::list(42, false, target(late, "draining") + "," + other.target("s-2")));
-    EXPECT_TRUE(n.run([&] { return c->got == answer(1); }, 500ms)) << c->got;
+    EXPECT_TRUE(n.run([&] { return c->got == answer(1); }, 1s)) << c->got;
     EXPECT_EQ(other.commands.size(), 1u);
     EXPECT_EQ(late.bytes(), 0u);
 }
@@ -125,7 +125,7 @@
     TestNode n;
     auto c = n.connect();
     c->stream.write("*x\r\n" + std::string(8'000'000, 'x'));
-    EXPECT_TRUE(n.run([&] { return c->broken; }, 1s)) << "not read for ever";
+    EXPECT_TRUE(n.run([&] { return c->broken; }, 4s)) << "not read for ever";
 }
 
 TEST(Endings, ClientsThatDoNotEndWhenTheyAreToDoNotKeepOthersOut) {
@@ -135,7 +135,7 @@
         stay.push_back(raw(n, "*x\r\n"));
         n.pass(2ms);
     }
-    EXPECT_EQ(n.talk(query(1), answer(1).size(), 1s), answer(1));
+    EXPECT_EQ(n.talk(query(1), answer(1).size()), answer(1));
 }
 
 TEST(DrainEnds, ARequestInHandIsNeverLostToTheEndOfTheDrain) {
@@ -167,7 +167,7 @@
     c->stream.write(submit(2, "SHEET") + ping());
     n.pass(20ms);
     host->stream.write(served("for " + hex(1)));
-    ASSERT_TRUE(n.run([&] { return c->got.ends_with(pong); }, 400ms)) << "long before its own time";
+    ASSERT_TRUE(n.run([&] { return c->got.ends_with(pong); }, 1s)) << "long before its own time";
     EXPECT_TRUE(c->got.starts_with(answer(1) + "-")) << c->got;
 }
 
@@ -204,7 +204,7 @@
     Host host(on.loop);
     Ends ends;
     upstream_resp::PoolLimits limits;
-    limits.sure = 50ms;
+    limits.sure = 300ms;
     upstream_resp::Upstream up(on.loop, limits, ends);
     up.hosts_changed(*platform::read_targets(Discovery::list(1, true, host.target("s-1"))));
     const auto send = [&](RequestId id, bool repeatable) {
@@ -221,9 +221,9 @@
     };
     EXPECT_EQ(send(1, false), 1u);
     EXPECT_EQ(send(2, false), 1u) << "used a moment ago";
-    on.pass(80ms);
+    on.pass(400ms);
     EXPECT_EQ(send(3, false), 2u) << "it has rested";
-    on.pass(80ms);
+    on.pass(400ms);
     EXPECT_EQ(send(4, true), 2u) << "one that may be repeated uses what there is";
 }
 
@@ -243,7 +243,7 @@
     ASSERT_TRUE(on.run([&] { return late.bytes() > 0 || late.taken() > 0; }, 1800ms)) << "it comes up";
     on.pass(20ms);
     up.send({2, 0}, "s-1", command, 1s);
-    EXPECT_TRUE(on.run([&] { return late.bytes() > 0; }, 40ms)) << "at once, on the one that was late";
+    EXPECT_TRUE(on.run([&] { return late.bytes() > 0; }, 1s)) << "at once, on the one that was late";
     EXPECT_EQ(up.stats().opened, 1u);
 }
 
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -12,12 +12,13 @@
     Discovery discovery{loop};
     std::vector<platform::TargetList> lists;
     std::unique_ptr<roster::Watch> watch;
-    Watching() {
+    // `wait`: before another call that is not made at once; `first`: for the first object.
+    explicit Watching(Micros wait = 10ms, Micros first = 10s) {
         roster::Watch::Hooks hooks;
         hooks.changed = [this](platform::TargetList list) { lists.push_back(std::move(list)); };
         hooks.lost = [](const std::string&) {};
         roster::Watch::Times times;
-        times.silent = 300ms, times.first = 200ms, times.wait_first = 10ms, times.wait_most = 20ms;
+        times.silent = 1s, times.first = first, times.wait_first = wait, times.wait_most = 2 * wait;
         times.look = 10ms;
         watch = std::make_unique<roster::Watch>(
             loop, config::Endpoint{"127.0.0.1", discovery.listener.port(), false}, 41, std::move(hooks),
@@ -28,7 +29,7 @@
         return run([&] { return discovery.asked.size() == n; }, 2s);
     }
     bool told(std::size_t n) {
-        return run([&] { return lists.size() == n; }, 100ms);
+        return run([&] { return lists.size() == n; }, 2s);
     }
 };
 const std::string whole = "GET /v1/endpoints?follow=1 HTTP/1.1";
@@ -74,11 +75,11 @@
 
 TEST(Watch, AfterAnObjectThatCannotBeReadTheWholeListIsAskedForAtOnce) {
     for (const char* bad : {R"({"rev":42,"all":true,"targets":[{"uid":}]})", "noise", R"({"rev":"x"})"}) {
-        Watching w;
+        Watching w(60s);
         w.discovery.say(Discovery::list(42, false, one));
         ASSERT_TRUE(w.told(1));
         w.discovery.say(bad);
-        ASSERT_TRUE(w.run([&] { return w.discovery.asked.size() == 2; }, 8ms)) << "before any wait: " << bad;
+        ASSERT_TRUE(w.asked(2)) << "without any wait: " << bad;
         EXPECT_EQ(w.discovery.asked[1], whole);
         w.discovery.say(Discovery::list(43, true, one));
         EXPECT_TRUE(w.told(2));
@@ -107,13 +108,13 @@
     Watching w;
     w.discovery.say(Discovery::list(42, false, one));
     ASSERT_TRUE(w.told(1));
-    for (int i = 0; i < 12; ++i) {  // empty lines are
+    for (int i = 0; i < 24; ++i) {  // empty lines are
         w.pass(50ms);
         w.discovery.say("");
     }
     EXPECT_EQ(w.discovery.asked.size(), 1u);
     w.discovery.say(*w.discovery.peers[0], "{\"rev\":43,");
-    for (int i = 0; i < 12 && w.discovery.asked.size() == 1; ++i) {
+    for (int i = 0; i < 60 && w.discovery.asked.size() == 1; ++i) {
         w.discovery.say(*w.discovery.peers[0], "      ");
         w.pass(50ms);
     }
@@ -122,7 +123,7 @@
 }
 
 TEST(Watch, AServiceThatTakesTheCallAndSaysNothingIsCalledAgain) {
-    Watching w;
+    Watching w(10ms, 200ms);
     ASSERT_TRUE(w.asked(2)) << "the first object is due at once";
     ASSERT_TRUE(w.asked(3));
     w.discovery.say(Discovery::list(42, false, one));
@@ -130,10 +131,10 @@
 }
 
 TEST(Watch, OneThatEndsInsteadOfTellingIsFollowedAtOnce) {
-    Watching w;
+    Watching w(60s);
     w.discovery.say(Discovery::list(42, false, one));
     ASSERT_TRUE(w.told(1));
     w.discovery.peers[0]->stream.close();
-    ASSERT_TRUE(w.run([&] { return w.discovery.asked.size() == 2; }, 8ms));
+    ASSERT_TRUE(w.asked(2)) << "without any wait";
     EXPECT_EQ(w.discovery.asked[1], "GET /v1/endpoints?follow=1&since=42 HTTP/1.1");
 }
