Discovery: a service that ends each watch is not called without a pause

Found on rereading: a watch that had told was followed by the next at once, so a service that tells and ends each watch would be called in a loop. At once only where it lived for half a second; else the waits grow from 50 to 800 ms as before. The test counts the pauses.

--- a/src/roster/watch.cpp
+++ b/src/roster/watch.cpp
@@ -15,7 +15,8 @@
         : watch_(watch),
           stream_(watch.loop_, std::move(fd), *this, true),
           parser_(http::Parser::Kind::response, *this),
-          heard_(watch.loop_.now()) {
+          heard_(watch.loop_.now()),
+          begun_(heard_) {
         const std::string since =
             watch.whole_ || watch.revision_ < 0 ? "" : fmt::format("&since={}", watch.revision_);
         stream_.write(fmt::format("GET /v1/endpoints?follow=1{} HTTP/1.1\r\nHost: {}\r\n\r\n", since,
@@ -26,7 +27,8 @@
     bool silent(Micros now) const {
         return !over_ && now - heard_ >= (spoke_ ? watch_.times_.silent : watch_.times_.first);
     }
-    bool spoke() const { return spoke_; }
+    // It told, and not only to end again at once.
+    bool lived(Micros now) const { return spoke_ && now - begun_ >= watch_.times_.lived; }
 
     void on_data(std::string_view bytes) override {
         parser_.feed(bytes);
@@ -60,7 +62,6 @@
         spoke_ = true;
         watch_.whole_ = watch_.told_ = false;
         watch_.revision_ = list->revision;
-        watch_.wait_ = watch_.times_.wait_first;
         watch_.hooks_.changed(std::move(*list));
     }
     // What it told is not known now: the next watch begins with the whole list.
@@ -71,14 +72,14 @@
     void end(const std::string& why) {
         if (std::exchange(over_, true)) return;
         stream_.close();
-        watch_.lost(why, spoke_);
+        watch_.lost(why, lived(watch_.loop_.now()));
     }
 
     Watch& watch_;
     event::Stream stream_;
     http::Parser parser_;
     platform::ObjectReader objects_;
-    Micros heard_;
+    Micros heard_, begun_;
     bool over_ = false, spoke_ = false;
 };
 
@@ -126,13 +127,15 @@
     now_ = std::make_unique<Following>(*this, std::move(fd));
 }
 
-// One that has spoken is followed by the next at once; after that the waits grow.
-void Watch::lost(const std::string& why, bool spoke) {
+// One that has told for a while is followed by the next at once; else the waits grow, so that a service that
+// ends each watch is not called without a pause.
+void Watch::lost(const std::string& why, bool lived) {
     if (!std::exchange(told_, true)) hooks_.lost(at_.text() + ": " + why);
-    loop_.after(spoke ? Micros(0) : wait_, [this, turn = ++turn_, alive = std::weak_ptr<bool>(alive_)] {
+    const Micros wait = lived ? Micros(0) : wait_;
+    wait_ = lived ? times_.wait_first : std::min(wait_ * 2, times_.wait_most);
+    loop_.after(wait, [this, turn = ++turn_, alive = std::weak_ptr<bool>(alive_)] {
         if (!alive.expired() && turn == turn_) follow();
     });
-    if (!spoke) wait_ = std::min(wait_ * 2, times_.wait_most);
 }
 
 // A service that says nothing for long has gone, whatever the connection looks like.
@@ -141,10 +144,10 @@
         if (alive.expired()) return;
         old_.reset();
         if (now_ && now_->silent(loop_.now())) {
-            const bool spoke = now_->spoke();
+            const bool lived = now_->lived(loop_.now());
             now_->close();
             old_ = std::move(now_);
-            lost("silence", spoke);
+            lost("silence", lived);
         }
         again();
     });
--- a/src/roster/watch.h
+++ b/src/roster/watch.h
@@ -27,7 +27,8 @@
         Micros silent{2'600'000};                       // the service says something every 2 s
         Micros first{1'000'000};                        // from the connect to the first object
         Micros wait_first{50'000}, wait_most{800'000};  // before another try, doubled each time
-        Micros look{100'000};                           // between looks at the first two
+        Micros lived{500'000};  // a watch that has told for so long is followed by the next at once
+        Micros look{100'000};   // between looks at the first two
     };
     // Begins at `revision`; below 0: with the whole list.
     Watch(event::Loop& loop, config::Endpoint at, std::int64_t revision, Hooks hooks, Times times);
@@ -40,7 +41,7 @@
   private:
     class Following;
     void follow();
-    void lost(const std::string& why, bool spoke);
+    void lost(const std::string& why, bool lived);
     void again();
     bool doubtful(const platform::TargetList& list);
 
--- a/tests/node/watch_test.cpp
+++ b/tests/node/watch_test.cpp
@@ -12,14 +12,15 @@
     Discovery discovery{loop};
     std::vector<platform::TargetList> lists;
     std::unique_ptr<roster::Watch> watch;
-    // `wait`: before another call that is not made at once; `first`: for the first object.
-    explicit Watching(Micros wait = 10ms, Micros first = 10s) {
+    // `wait`: before another call that is not made at once; `first`: for the first object; `lived`: to be
+    // followed at once.
+    explicit Watching(Micros wait = 10ms, Micros first = 10s, Micros lived = 0s) {
         roster::Watch::Hooks hooks;
         hooks.changed = [this](platform::TargetList list) { lists.push_back(std::move(list)); };
         hooks.lost = [](const std::string&) {};
         roster::Watch::Times times;
         times.silent = 1s, times.first = first, times.wait_first = wait, times.wait_most = 2 * wait;
-        times.look = 10ms;
+        times.look = 10ms, times.lived = lived;
         watch = std::make_unique<roster::Watch>(
             loop, config::Endpoint{"127.0.0.1", discovery.listener.port(), false}, 41, std::move(hooks),
             times);
@@ -138,3 +139,15 @@
     ASSERT_TRUE(w.asked(2)) << "without any wait";
     EXPECT_EQ(w.discovery.asked[1], "GET /v1/endpoints?follow=1&since=42 HTTP/1.1");
 }
+
+TEST(Watch, AServiceThatEndsEachWatchIsNotCalledWithoutAPause) {
+    Watching w(100ms, 10s, 10s);
+    w.discovery.first = Discovery::list(42, false, one);
+    const auto from = event::Loop::clock();
+    w.discovery.say(w.discovery.first);
+    for (std::size_t n = 1; n <= 4; ++n) {
+        ASSERT_TRUE(w.told(n));
+        w.discovery.peers.back()->stream.close();
+    }
+    EXPECT_GE(event::Loop::clock() - from, 500ms) << "100, 200 and 200 ms between them";
+}
