--- a/src/roster/watch.h
+++ b/src/roster/watch.h
@@ -3,7 +3,7 @@
 // the last revision that was taken, or with the whole list where that is not known.
 //
 // The last good list stays in use whatever comes. What cannot be read, an older revision and a list of nobody
-// are doubtful: the whole list is asked for at once, and what is said twice in a row is believed.
+// are doubtful: the next watch asks for the whole list, and what is said twice in a row is believed.
 #pragma once
 
 #include <functional>
--- a/tests/node/endings_test.cpp
+++ b/tests/node/endings_test.cpp
@@ -138,37 +138,42 @@
     EXPECT_EQ(n.talk(query(1), answer(1).size()), answer(1));
 }
 
-TEST(DrainEnds, ARequestInHandIsNeverLostToTheEndOfTheDrain) {
-    TestNode n;
+namespace {
+// A node whose host has a client's request and says nothing yet.
+struct OneInHand : TestNode {
     Accepting::Peer* host = nullptr;
-    n.hosts[0]->respond = [&](Accepting::Peer& p, const Words&) { host = &p; };
-    auto c = n.connect();
-    c->stream.write(submit(1, "SHEET"));
-    ASSERT_TRUE(n.run([&] { return host != nullptr; }));
+    std::unique_ptr<Client> client = connect();
+    OneInHand() {
+        hosts[0]->respond = [this](Accepting::Peer& p, const Words&) { host = &p; };
+        client->stream.write(submit(1, "SHEET"));
+        EXPECT_TRUE(run([this] { return host != nullptr; }));
+    }
+};
+}  // namespace
+
+TEST(DrainEnds, ARequestInHandIsNeverLostToTheEndOfTheDrain) {
+    OneInHand n;
+    ASSERT_TRUE(n.host);
     bool done = false;
     n.node->drain(0ms, 100ms, [&] { done = true; });
     n.pass(250ms);
     EXPECT_FALSE(done) << "it is still owed";
-    host->stream.write(served("for " + hex(1)));
+    n.host->stream.write(served("for " + hex(1)));
     EXPECT_TRUE(n.run([&] { return done; }, 2s));
-    EXPECT_EQ(c->got, answer(1));
+    EXPECT_EQ(n.client->got, answer(1));
 }
 
 TEST(DrainEnds, WhatComesLateInItIsAnsweredBeforeItsEnd) {
-    TestNode n;
-    Accepting::Peer* host = nullptr;
-    n.hosts[0]->respond = [&](Accepting::Peer& p, const Words&) { host = &p; };
-    auto c = n.connect();
-    c->stream.write(submit(1, "SHEET"));
-    ASSERT_TRUE(n.run([&] { return host != nullptr; }));
+    OneInHand n;
+    ASSERT_TRUE(n.host);
     n.node->drain(0ms, 400ms, [] {});
     n.pass(50ms);
     n.hosts[0]->respond = [](Accepting::Peer&, const Words&) {};
-    c->stream.write(submit(2, "SHEET") + ping());
+    n.client->stream.write(submit(2, "SHEET") + ping());
     n.pass(20ms);
-    host->stream.write(served("for " + hex(1)));
-    ASSERT_TRUE(n.run([&] { return c->got.ends_with(pong); }, 1s)) << "long before its own time";
-    EXPECT_TRUE(c->got.starts_with(answer(1) + "-")) << c->got;
+    n.host->stream.write(served("for " + hex(1)));
+    ASSERT_TRUE(n.run([&] { return n.client->got.ends_with(pong); }, 1s)) << "long before its own time";
+    EXPECT_TRUE(n.client->got.starts_with(answer(1) + "-")) << n.client->got;
 }
 
 TEST(DrainEnds, AClientThatGoesOnSendingIsEndedToo) {
