--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -1,5 +1,6 @@
 #include "cli/node.h"
 
+#include <fmt/format.h>
 #include <malloc.h>
 #include <signal.h>
 #include <stdlib.h>
@@ -21,7 +22,13 @@
                  deadline_counted = 3s;   // SIGKILL: so long after SIGTERM and a deadline
 constexpr Micros kill_margin = 100ms;     // before it, for the last answer to get out
 constexpr int reserved_descriptors = 24;  // listener, discovery, peers, loop, log, files
-constexpr Micros idle_reserve = 2s;       // a connection is given up so long before its host does
+// For the log, in the order of the types.
+const std::array<std::string, 7> refuse_texts{"quota",   "ceiling",   "open", "pressed",
+                                              "no_host", "no_answer", "late"};
+const std::array<std::string, 2> fail_texts{"bad_answer", "no_time"};
+const std::array<std::string, 8> outcome_texts{"good",           "error", "full",      "timeout",
+                                               "connect_failed", "reset", "cancelled", "moot"};
+constexpr Micros idle_reserve = 2s;  // a connection is given up so long before its host does
 
 Micros unix_now() {
     return std::chrono::duration_cast<Micros>(std::chrono::system_clock::now().time_since_epoch());
@@ -34,6 +41,11 @@
     if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return told.sockets;
     return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, static_cast<rlim_t>(told.sockets)));
 }
+// SILVERREACH_LOG=debug tells of every request, attempt and close.
+log::Level log_level() {
+    const char* level = getenv("SILVERREACH_LOG");
+    return level && std::string_view(level) == "debug" ? log::Level::debug : log::Level::info;
+}
 platform::NodeConfig load(const char* path) {
     const auto text = read_file(path);
     if (!text) throw std::runtime_error(std::string(path) + ": cannot be read");
@@ -76,6 +88,13 @@
     limits.kept_bytes = static_cast<std::size_t>(config_.limits.memory_mb) * 1024 * 1024 / 16;
     front_ = std::make_unique<fronts::resp::Front>(loop, config_.listen, judge_, limits, *core_,
                                                    [this] { return now(); });
+    front_->on_close([this](const fronts::resp::ClientClose& close) {
+        if (!log_.wants(log::Level::debug)) return;
+        log_.write(log::Level::debug, "client_closed",
+                   {{"why", std::string(fronts::resp::text_of(close.reason))},
+                    {"in_hand", whole(close.requests_in_hand)},
+                    {"open_us", std::int64_t{close.open_for.count()}}});
+    });
     roster::Watch::Hooks hooks;
     hooks.changed = [this](platform::TargetList list) { hosts_changed(list); };
     hooks.lost = [this](const std::string& why) {
@@ -129,47 +148,94 @@
 }
 
 void Node::log_counts() {
+    log_.write(log::Level::info, "counts", traffic_fields());
+    log_.write(log::Level::info, "closes", close_fields());
+    const log::Fields rules = rule_fields();
+    const auto violated =
+        core_->counts().late_answers + core_->counts().unchecked_attempts + front_->stats().closed_in_hand;
+    log_.write(violated > 0 ? log::Level::error : log::Level::info, "rules", rules);
+    log_.flush();
+}
+
+log::Fields Node::traffic_fields() const {
     const core::Counts& c = core_->counts();
     const auto up = upstream_->stats();
     const auto f = front_->stats();
     rusage use{};
     getrusage(RUSAGE_SELF, &use);
     const auto refused = [this](RefuseReason r) { return refused_[static_cast<std::size_t>(r)]; };
+    const auto ended = [this](Outcome o) { return whole(ended_[static_cast<std::size_t>(o)]); };
     const auto cpu = [](const timeval& t) { return std::int64_t{t.tv_sec} * 1000 + t.tv_usec / 1000; };
-    log_.write(log::Level::info, "counts",
-               {{"taken", whole(c.taken)},
-                {"served", whole(c.served)},
-                {"refused", whole(c.refused)},
-                {"refused_quota", whole(refused(RefuseReason::quota) + refused(RefuseReason::open))},
-                {"refused_ceiling", whole(refused(RefuseReason::ceiling))},
-                {"refused_pressed", whole(refused(RefuseReason::pressed))},
-                {"refused_no_host", whole(refused(RefuseReason::no_host))},
-                {"refused_no_answer", whole(refused(RefuseReason::no_answer))},
-                {"failed", whole(c.failed)},
-                {"left", whole(c.left)},
-                {"attempts", whole(c.attempts)},
-                {"held", whole(core_->held())},
-                {"clients", whole(f.connections)},
-                {"accepted", whole(f.accepted)},
-                {"nonsense", whole(f.nonsense)},
-                {"broken", whole(f.broken)},
-                {"silent", whole(f.silent)},
-                {"turned_away", whole(f.turned_away)},
-                {"hosts", whole(up.hosts)},
-                {"host_connections", whole(up.open)},
-                {"opened", whole(up.opened)},
-                {"reused", whole(up.reused)},
-                {"stale", whole(up.stale)},
-                {"spoilt", whole(up.spoilt)},
-                {"more", whole(up.more)},
-                {"full", whole(up.full)},
-                {"stopped", whole(up.stopped)},
-                {"peers_sent", whole(peers_ ? peers_->stats().sent : 0)},
-                {"peers_received", whole(peers_ ? peers_->stats().received : 0)},
-                {"peers_dropped", whole(peers_ ? peers_->stats().dropped : 0)},
-                {"cpu_ms", cpu(use.ru_utime) + cpu(use.ru_stime)},
-                {"peak_kib", std::int64_t{use.ru_maxrss}}});
-    log_.flush();
+    return {{"taken", whole(c.taken)},
+            {"served", whole(c.served)},
+            {"refused", whole(c.refused)},
+            {"refused_quota", whole(refused(RefuseReason::quota) + refused(RefuseReason::open))},
+            {"refused_ceiling", whole(refused(RefuseReason::ceiling))},
+            {"refused_pressed", whole(refused(RefuseReason::pressed))},
+            {"refused_no_host", whole(refused(RefuseReason::no_host))},
+            {"refused_no_answer", whole(refused(RefuseReason::no_answer))},
+            {"failed", whole(c.failed)},
+            {"left", whole(c.left)},
+            {"attempts", whole(c.attempts)},
+            {"ended_error", ended(Outcome::error)},
+            {"ended_full", ended(Outcome::full)},
+            {"ended_timeout", ended(Outcome::timeout)},
+            {"ended_connect_failed", ended(Outcome::connect_failed)},
+            {"ended_reset", ended(Outcome::reset)},
+            {"ended_moot", ended(Outcome::moot)},
+            {"held", whole(core_->held())},
+            {"clients", whole(f.connections)},
+            {"accepted", whole(f.accepted)},
+            {"nonsense", whole(f.nonsense)},
+            {"broken", whole(f.broken)},
+            {"silent", whole(f.silent)},
+            {"turned_away", whole(f.turned_away)},
+            {"hosts", whole(up.hosts)},
+            {"host_connections", whole(up.open)},
+            {"opened", whole(up.opened)},
+            {"reused", whole(up.reused)},
+            {"stale", whole(up.stale)},
+            {"spoilt", whole(up.spoilt)},
+            {"more", whole(up.more)},
+            {"full", whole(up.full)},
+            {"stopped", whole(up.stopped)},
+            {"peers_sent", whole(peers_ ? peers_->stats().sent : 0)},
+            {"peers_received", whole(peers_ ? peers_->stats().received : 0)},
+            {"peers_dropped", whole(peers_ ? peers_->stats().dropped : 0)},
+            {"cpu_ms", cpu(use.ru_utime) + cpu(use.ru_stime)},
+            {"peak_kib", std::int64_t{use.ru_maxrss}}};
+}
+
+// Client connections that ended, by reason.
+log::Fields Node::close_fields() const {
+    const auto closes = front_->stats().closes;
+    log::Fields fields;
+    for (std::size_t i = 0; i < closes.size(); ++i)
+        fields.emplace_back(fronts::resp::text_of(static_cast<fronts::resp::CloseReason>(i)),
+                            whole(closes[i]));
+    return fields;
+}
+
+// What the rules stopped, and what went past them: the last three stay 0.
+log::Fields Node::rule_fields() const {
+    const core::Counts& c = core_->counts();
+    log::Fields fields{{"stopped_choices", whole(c.stopped_choices.sum())},
+                       {"stopped_handovers", whole(c.stopped_handovers.sum())}};
+    for (std::size_t i = 0; i < rules::reason_count; ++i) {
+        const auto reason = static_cast<rules::Reason>(i);
+        const std::uint64_t stops = c.stopped_choices.of(reason) + c.stopped_handovers.of(reason);
+        if (stops > 0) fields.emplace_back(rules::text_of(reason), whole(stops));
+    }
+    fields.emplace_back("late_answers", whole(c.late_answers));
+    fields.emplace_back("unchecked_attempts", whole(c.unchecked_attempts));
+    fields.emplace_back("closed_in_hand", whole(front_->stats().closed_in_hand));
+    return fields;
+}
+
+void Node::trace(std::string_view event, RequestId id, log::Fields fields) {
+    if (!log_.wants(log::Level::debug)) return;
+    fields.insert(fields.begin(), {"request", whole(id)});
+    log_.write(log::Level::debug, event, fields);
 }
 
 log::Fields Node::limits() const {
@@ -193,6 +259,11 @@
         moot.outcome = Outcome::moot;
         return attempt_ended(key, host, 0us, std::move(moot));
     }
+    if (log_.wants(log::Level::debug))
+        trace("attempt", key.request,
+              {{"client_id", fmt::format("{:016x}", front_->client_id(key.request))},
+               {"attempt", std::int64_t{key.attempt}},
+               {"host", host}});
     upstream_->send(key, host, std::move(command));
 }
 void Node::cancel(const core::AttemptKey& key) { upstream_->cancel(key); }
@@ -203,17 +274,20 @@
 }
 void Node::finish(RequestId id, const core::Final& answer) {
     if (answer.refused) ++refused_[static_cast<std::size_t>(answer.refuse_reason)];
+    if (log_.wants(log::Level::debug))
+        trace(answer.refused ? "refused" : "failed", id,
+              {{"client_id", fmt::format("{:016x}", front_->client_id(id))},
+               {"why", answer.refused ? refuse_texts[static_cast<std::size_t>(answer.refuse_reason)]
+                                      : fail_texts[static_cast<std::size_t>(answer.fail_reason)]},
+               {"retry_after_us", std::int64_t{answer.retry_after.count()}}});
     front_->finish(id, answer);
 }
 void Node::cut(RequestId) {}  // an answer is taken whole or not at all
 
 void Node::stopped(const core::AttemptKey& key, const std::string& host, rules::Reason why) {
-    if (!log_.wants(log::Level::debug)) return;
-    log_.write(log::Level::debug, "attempt_stopped",
-               {{"request", whole(key.request)},
-                {"attempt", std::int64_t{key.attempt}},
-                {"host", host},
-                {"why", std::string(rules::text_of(why))}});
+    trace(
+        "attempt_stopped", key.request,
+        {{"attempt", std::int64_t{key.attempt}}, {"host", host}, {"why", std::string(rules::text_of(why))}});
 }
 
 // ---- upstream_resp::Events -------------------------------------------------------------------------------
@@ -225,9 +299,17 @@
 }
 void Node::attempt_ended(const core::AttemptKey& key, const std::string& host, Micros took,
                          upstream_resp::Answer answer) {
+    ++ended_[static_cast<std::size_t>(answer.outcome)];
+    if (log_.wants(log::Level::debug))
+        trace("attempt_ended", key.request,
+              {{"attempt", std::int64_t{key.attempt}},
+               {"host", host},
+               {"outcome", outcome_texts[static_cast<std::size_t>(answer.outcome)]},
+               {"took_us", std::int64_t{took.count()}}});
     if (answer.outcome != Outcome::good)
         return core_->attempt_ended(now(), key, host, answer.outcome, took, answer.report);
     if (core_->answer_begins(now(), key, host, took, answer.report, answer.true_units)) {
+        trace("served", key.request, {{"attempt", std::int64_t{key.attempt}}, {"host", host}});
         front_->answer(key.request, answer.value);
         core_->answer_ended(now(), key.request, true);
     }
@@ -251,7 +333,7 @@
     event::Loop loop;
     Node* node = nullptr;
     Micros longest{0};
-    log::Log log(log::Form::readable, log::Level::info, "");
+    log::Log log(log::Form::readable, log_level(), "");
     event::Signal hup(loop, SIGHUP, [&] {
         if (!node) return;
         try {
--- a/src/cli/node.h
+++ b/src/cli/node.h
@@ -53,6 +53,10 @@
 
     Micros now() const { return loop_.now() + offset_; }
     void hosts_changed(const platform::TargetList& list);
+    log::Fields traffic_fields() const;
+    log::Fields close_fields() const;
+    log::Fields rule_fields() const;
+    void trace(std::string_view event, RequestId id, log::Fields fields);  // debug, of one request
     void wait_for_drain(std::function<void()> done);
 
     event::Loop& loop_;
@@ -71,6 +75,7 @@
     std::unique_ptr<roster::Watch> watch_;
     bool draining_ = false;
     std::array<std::uint64_t, 7> refused_{};  // by RefuseReason
+    std::array<std::uint64_t, 8> ended_{};    // attempts, by Outcome
 };
 
 // `silverreach node`; returns the exit code.
--- a/src/fronts/resp/connection.cpp
+++ b/src/fronts/resp/connection.cpp
@@ -23,7 +23,10 @@
 }  // namespace
 
 Front::Connection::Connection(Front& front, event::Fd fd, Micros waiting_since)
-    : front_(front), stream_(front.loop_, std::move(fd), *this, waiting_since), since_(front.loop_.now()) {}
+    : front_(front),
+      stream_(front.loop_, std::move(fd), *this, waiting_since),
+      opened_(front.loop_.now()),
+      since_(opened_) {}
 
 // Bytes that came within a moment share one entry, with the earlier time.
 void Front::Connection::note_arrival(std::size_t bytes) {
@@ -44,11 +47,11 @@
 void Front::Connection::on_data(std::string_view bytes) {
     if (gone_) return;
     if (lingering_) {
-        if ((dropped_ += bytes.size()) > linger_bytes) close();
+        if ((dropped_ += bytes.size()) > linger_bytes) close(CloseReason::linger_flood);
         return;
     }
     // Its end may have come with the bytes: nobody waits for what they ask.
-    if (stream_.left()) return close();
+    if (stream_.left()) return close(CloseReason::client_ended);
     since_ = front_.loop_.now();
     if (ending_) {  // after a broken frame nothing makes a command any more
         if ((dropped_ += bytes.size()) > linger_bytes) stream_.read(false);
@@ -63,7 +66,7 @@
 
 // What waited here may be of a client that has gone since, its end behind bytes that were not read.
 void Front::Connection::work() {
-    if (!working_ && !gone_ && stream_.left()) return close();
+    if (!working_ && !gone_ && stream_.left()) return close(CloseReason::client_ended);
     take_commands();
 }
 
@@ -192,7 +195,7 @@
         stream_.write(out);
     }
     slow_since_ = stream_.queued() == 0 ? 0us : slow_since_ == 0us ? front_.loop_.now() : slow_since_;
-    if (over()) leave();
+    if (over()) leave(reason_to_end());
 }
 
 bool Front::Connection::over() const {
@@ -204,7 +207,7 @@
 
 void Front::Connection::on_drained() {
     slow_since_ = 0us;
-    if (over()) return leave();
+    if (over()) return leave(reason_to_end());
     if (!in_.empty()) work();
     else hold();
 }
@@ -219,22 +222,39 @@
 void Front::Connection::look(Micros now) {
     if (gone_) return;
     if (lingering_) {
-        if (now - since_ >= linger_most) close();
+        if (now - since_ >= linger_most) close(CloseReason::linger_over);
         return;
     }
     if (places_.empty()) {
-        if (commands_ == 0 && now - since_ >= first_command_due) return ++front_.stats_.silent, leave();
-        if (commands_ > 0 && now - since_ >= idle_most && at_rest()) return leave();
+        if (commands_ == 0 && now - since_ >= first_command_due)
+            return ++front_.stats_.silent, leave(CloseReason::no_command);
+        if (commands_ > 0 && now - since_ >= idle_most && at_rest()) return leave(CloseReason::idle);
     }
-    if (over()) return leave();
+    if (over()) return leave(reason_to_end());
     if (!in_.empty() && !held_ && !ending_ && places_.size() < places_most && partial_since_ > 0us &&
         now - partial_since_ >= command_due)
         return ++front_.stats_.broken, fault("a command not finished in time");
-    if (slow_since_ > 0us && now - slow_since_ >= unread_most) return close();
+    if (slow_since_ > 0us && now - slow_since_ >= unread_most) return close(CloseReason::answers_unread);
 }
 
-void Front::Connection::leave() {
+CloseReason Front::Connection::reason_to_end() const {
+    return ending_ ? CloseReason::protocol_error : CloseReason::draining;
+}
+
+std::vector<RequestId> Front::Connection::requests_in_hand() const {
+    std::vector<RequestId> out;
+    for (const Place& place : places_)
+        if (place.request != 0) out.push_back(place.request);
+    return out;
+}
+
+void Front::Connection::tell_close(CloseReason reason) {
+    front_.closing({reason, requests_in_hand().size(), front_.loop_.now() - opened_});
+}
+
+void Front::Connection::leave(CloseReason reason) {
     if (gone_ || std::exchange(lingering_, true)) return;
+    tell_close(reason);
     since_ = front_.loop_.now();
     slow_since_ = 0us;
     const std::size_t before = in_.size();
@@ -245,14 +265,13 @@
     front_.lingers(*this);
 }
 
-void Front::Connection::close() {
+void Front::Connection::close(CloseReason reason) {
     if (std::exchange(gone_, true)) return;
+    tell_close(reason);
     stream_.close();
     front_.kept_bytes_ -= in_.size();
     // The requests in hand have lost their client.
-    std::vector<RequestId> left;
-    for (const Place& p : places_)
-        if (p.request != 0) left.push_back(p.request);
+    const std::vector<RequestId> left = requests_in_hand();
     for (const RequestId id : left)
         if (const auto it = front_.requests_.find(id); it != front_.requests_.end()) {
             front_.by_client_id_.erase(it->second.client_id);
--- a/src/fronts/resp/connection.h
+++ b/src/fronts/resp/connection.h
@@ -15,11 +15,11 @@
     Connection(Front& front, event::Fd fd, Micros waiting_since);
 
     void answered(std::uint64_t place, std::string bytes);  // whole, as it goes out
-    void close();  // at once; requests in hand have lost their client
+    void close(CloseReason reason);  // at once; requests in hand have lost their client
     // Ends it with nothing owed to the client: sends no more, reads and drops what still comes until the
     // client ends as well. Closed over unread bytes the system would reset it, and with it take answers that
     // the client has not got yet.
-    void leave();
+    void leave(CloseReason reason);
     bool lingering() const { return lingering_; }
     bool left() const { return stream_.left(); }  // the client has gone, though the loop has not told yet
     // Looks at the time: a connection that owes a command, or has been idle, goes.
@@ -31,8 +31,8 @@
     Micros since() const { return since_; }                            // of the latest sign of use
 
     void on_data(std::string_view bytes) override;
-    void on_end() override { close(); }
-    void on_broken(int) override { close(); }
+    void on_end() override { close(CloseReason::client_ended); }
+    void on_broken(int) override { close(CloseReason::client_ended); }
     void on_drained() override;
 
     std::size_t slot = 0;  // where the front keeps it
@@ -58,6 +58,9 @@
     void hold();
     bool over() const;  // nothing in hand, and it is to end
     void keep(std::size_t bytes);
+    std::vector<RequestId> requests_in_hand() const;
+    void tell_close(CloseReason reason);
+    CloseReason reason_to_end() const;
 
     Front& front_;
     event::Stream stream_;
@@ -68,7 +71,7 @@
     std::deque<Place> places_;
     std::uint64_t first_place_ = 0, commands_ = 0;
     int nonsense_in_a_row_ = 0;
-    Micros since_, partial_since_{0}, slow_since_{0};
+    Micros opened_, since_, partial_since_{0}, slow_since_{0};
     std::size_t dropped_ = 0;  // bytes, while lingering
     bool held_ = false, working_ = false, ending_ = false, lingering_ = false, gone_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/fronts/resp/front.cpp
+++ b/src/fronts/resp/front.cpp
@@ -10,6 +10,13 @@
 constexpr Micros look_period = 200ms;
 }  // namespace
 
+std::string_view text_of(CloseReason reason) {
+    constexpr std::array<std::string_view, close_reason_count> texts{
+        "client_ended", "no_command",     "idle",        "evicted",      "protocol_error",
+        "draining",     "answers_unread", "linger_over", "linger_flood", "linger_crowded"};
+    return texts[static_cast<std::size_t>(reason)];
+}
+
 Front::Front(event::Loop& loop, const config::Endpoint& listen, const platform::Judge& judge,
              FrontLimits limits, core::Core& core, std::function<Micros()> clock)
     : loop_(loop), judge_(judge), limits_(limits), core_(core), clock_(std::move(clock)), gone_(loop) {
@@ -33,7 +40,7 @@
     }
     if (!out) return ++stats_.turned_away, false;
     ++stats_.silent;
-    out->leave();
+    out->leave(CloseReason::evicted);
     return true;
 }
 
@@ -43,7 +50,7 @@
     Connection* out = nullptr;
     for (const auto& c : connections_)
         if (c->lingering() && c.get() != &connection && (!out || c->since() < out->since())) out = c.get();
-    (out ? *out : connection).close();
+    (out ? *out : connection).close(CloseReason::linger_crowded);
 }
 
 void Front::accepted(event::Fd fd) {
@@ -64,6 +71,13 @@
     connections_.pop_back();
 }
 
+void Front::closing(const ClientClose& close) {
+    ++stats_.closes[static_cast<std::size_t>(close.reason)];
+    const rules::ClientFacts facts{close.requests_in_hand, close.reason == CloseReason::client_ended};
+    if (rules::Rules::may_close(facts)) ++stats_.closed_in_hand;
+    if (on_close_) on_close_(close);
+}
+
 void Front::sweep() {
     const Micros now = loop_.now();
     for (std::size_t i = connections_.size(); i-- > 0;)
@@ -78,10 +92,15 @@
     return it == requests_.end() ? nullptr : it->second.out;
 }
 
+std::uint64_t Front::client_id(RequestId id) const {
+    const auto it = requests_.find(id);
+    return it == requests_.end() ? 0 : it->second.client_id;
+}
+
 void Front::look_for_client(RequestId id) {
     const auto it = requests_.find(id);
     if (it == requests_.end() || it->second.taken == loop_.now()) return;
-    if (Connection& c = *it->second.connection; c.left()) c.close();
+    if (Connection& c = *it->second.connection; c.left()) c.close(CloseReason::client_ended);
 }
 
 void Front::over(RequestId id, std::string bytes) {
--- a/src/fronts/resp/front.h
+++ b/src/fronts/resp/front.h
@@ -8,6 +8,7 @@
 // the idle go first.
 #pragma once
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -28,6 +29,30 @@
     std::size_t kept_bytes = 4 * 1024 * 1024;  // of commands not whole yet, over all connections
 };
 
+// Why a client's connection ended.
+enum class CloseReason {
+    client_ended,    // by its client, or broken
+    no_command,      // nothing whole was said in time
+    idle,            // it rested too long
+    evicted,         // its place was needed
+    protocol_error,  // a broken or unfinished command
+    draining,        // this instance ends
+    answers_unread,  // the client does not take its answers
+    linger_over,     // ended here, and its client did not end in time
+    linger_flood,    // nor stopped sending
+    linger_crowded   // too many such
+};
+constexpr std::size_t close_reason_count = 10;
+std::string_view text_of(CloseReason reason);
+
+// A connection that this instance ends, or has seen end. Told once for an end in good order, and once more
+// where the connection is then closed for another reason.
+struct ClientClose {
+    CloseReason reason = CloseReason::client_ended;
+    std::size_t requests_in_hand = 0;
+    Micros open_for{0};
+};
+
 class Front {
   public:
     // `clock` gives the core's time. Throws std::runtime_error where the address cannot be listened on.
@@ -48,10 +73,15 @@
     // Before an attempt that comes later than its request: sees to it that the client is still there.
     void look_for_client(RequestId id);
     std::size_t in_hand() const { return requests_.size(); }
+    // Hears of every connection that ends, for the log.
+    void on_close(std::function<void(const ClientClose&)> hook) { on_close_ = std::move(hook); }
+    std::uint64_t client_id(RequestId id) const;  // as the client named the request; 0: not in hand
 
     struct Stats {
         std::size_t connections = 0;
         std::uint64_t accepted = 0, nonsense = 0, broken = 0, silent = 0, turned_away = 0;
+        std::array<std::uint64_t, close_reason_count> closes{};  // by CloseReason
+        std::uint64_t closed_in_hand = 0;  // violations: ended by this instance with requests in hand
     };
     Stats stats() const;
 
@@ -68,6 +98,7 @@
     void accepted(event::Fd fd);
     void over(RequestId id, std::string bytes);  // its answer, as it goes out
     void bury(Connection& connection);
+    void closing(const ClientClose& close);
     void lingers(Connection& connection);
     Micros time_to_end() const { return closing_ ? end_ - loop_.now() : Micros::max(); }
     void sweep();
@@ -77,6 +108,7 @@
     FrontLimits limits_;
     core::Core& core_;
     std::function<Micros()> clock_;
+    std::function<void(const ClientClose&)> on_close_;
     std::unordered_map<RequestId, Open> requests_;
     std::unordered_map<std::uint64_t, RequestId> by_client_id_;
     std::vector<std::unique_ptr<Connection>> connections_;
