--- a/tests/support/node_process.h
+++ b/tests/support/node_process.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <arpa/inet.h>
-#include <gtest/gtest.h>
 #include <netinet/in.h>
 #include <signal.h>
 #include <sys/socket.h>
