Log: lines that cannot be written at once are dropped and counted, a log holds up nothing

Cause: spdlog's sinks write with calls that wait for the reader, and its error handler does so again. Change: DescriptorWriter opens a pipe or terminal anew for itself without waiting, sends to a socket without waiting, keeps the rest of a line that went out in part, drops and counts what does not fit, and tells the count with the next line.

--- a/src/log/log.cpp
+++ b/src/log/log.cpp
@@ -1,12 +1,18 @@
 #include "log/log.h"
 
-#include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <errno.h>
+#include <fcntl.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 
+#include <cstring>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
+#include "log/descriptor_writer.h"
+
 namespace silverreach::log {
 namespace {
 spdlog::level::level_enum level_of(Level level) {
@@ -22,6 +28,40 @@
     }
     return spdlog::level::info;
 }
+constexpr mode_t file_mode = 0644;
+
+std::string time_now() {
+    const std::time_t now = std::time(nullptr);
+    std::tm parts{};
+    ::gmtime_r(&now, &parts);
+    char text[32];
+    std::strftime(text, sizeof text, "%Y-%m-%dT%H:%M:%S.000Z", &parts);
+    return text;
+}
+// Words the line that tells how many were dropped, in the log's own form.
+std::string dropped_line(Form form, std::uint64_t lines) {
+    const std::string line = line_of(form, "log_dropped", {{"lines", static_cast<std::int64_t>(lines)}});
+    if (form == Form::json) return R"({"time":")" + time_now() + R"(","level":"warning",)" + line + "}\n";
+    return time_now() + " W " + line + "\n";
+}
+
+class LineSink : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+  public:
+    LineSink(int descriptor, bool owned, Form form)
+        : writer_(descriptor, owned, [form](std::uint64_t lines) { return dropped_line(form, lines); }) {}
+
+  protected:
+    void sink_it_(const spdlog::details::log_msg& message) override {
+        spdlog::memory_buf_t line;
+        formatter_->format(message, line);
+        writer_.write({line.data(), line.size()});
+    }
+    void flush_() override {}  // nothing is held back
+
+  private:
+    DescriptorWriter writer_;
+};
+
 std::string quoted(const std::string& text) {
     return nlohmann::json(text).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
 }
@@ -48,19 +88,16 @@
 }
 
 Log::Log(Form form, Level least, const std::string& file) : form_(form) {
-    try {
-        std::shared_ptr<spdlog::sinks::sink> sink;
-        if (file.empty()) sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
-        else sink = std::make_shared<spdlog::sinks::basic_file_sink_st>(file);
-        logger_ = std::make_shared<spdlog::logger>("silverreach", sink);
-    } catch (const spdlog::spdlog_ex& error) {
-        throw std::runtime_error(error.what());
-    }
+    const bool to_file = !file.empty();
+    const int descriptor =
+        to_file ? ::open(file.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, file_mode) : STDERR_FILENO;
+    if (descriptor < 0) throw std::runtime_error(file + ": " + std::strerror(errno));
+    logger_ = std::make_shared<spdlog::logger>("silverreach",
+                                               std::make_shared<LineSink>(descriptor, to_file, form));
     logger_->set_pattern(form == Form::json ? R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l",%v})"
                                             : "%Y-%m-%dT%H:%M:%S.%eZ %L %v",
                          spdlog::pattern_time_type::utc);
     logger_->set_level(level_of(least));
-    logger_->flush_on(spdlog::level::warn);
 }
 Log::~Log() { flush(); }
 
