--- a/tests/node/rig.h
+++ b/tests/node/rig.h
@@ -93,13 +93,20 @@
 
 struct Discovery : Accepting {
     std::vector<std::string> asked;
-    std::string first;  // said to each new watch
+    std::string first;   // said to each new watch
+    Micros patience{0};  // before it says anything
     explicit Discovery(event::Loop& l) : Accepting(l, [this](Peer& p) { take(p); }) {}
     void take(Peer& p) {
         const auto end = p.got.find("\r\n\r\n");
         if (end == std::string::npos) return;
         asked.push_back(p.got.substr(0, p.got.find("\r\n")));
         p.got.erase(0, end + 4);
+        if (patience == 0us) return answer(p);
+        loop.after(patience, [this, &p] {
+            if (!p.over) answer(p);
+        });
+    }
+    void answer(Peer& p) {
         p.stream.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
         if (!first.empty()) say(p, first + "\n");
     }
