Accept: nothing that waits in the queue is given up for an error that passes

Causes: Listener::stop ended its look at the first failing accept; a single EMFILE or ENFILE took the spare descriptor to close a connection unread. Change: event/listener in a file of its own.

--- a/bench/load.h
+++ b/bench/load.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "event/listener.h"
 #include "event/stream.h"
 
 namespace silverreach::bench {
--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -88,6 +88,7 @@
     limits.kept_bytes = static_cast<std::size_t>(config_.limits.memory_mb) * 1024 * 1024 / 16;
     front_ = std::make_unique<fronts::resp::Front>(loop, config_.listen, judge_, limits, *core_,
                                                    [this] { return now(); });
+    front_->on_shortage([this] { return upstream_->give_up_idle() || front_->give_up_idle(); });
     front_->on_close([this](const fronts::resp::ClientClose& close) {
         if (!log_.wants(log::Level::debug)) return;
         log_.write(log::Level::debug, "client_closed",
@@ -141,7 +142,7 @@
 }
 // As long as a request is in hand it goes on, however late: to end by itself would lose it.
 void Node::wait_for_drain(std::function<void()> done) {
-    if (front_->stats().connections == 0) return done();
+    if (!front_->listening() && front_->stats().connections == 0) return done();
     loop_.after(drain_look, [this, done = std::move(done), alive = std::weak_ptr<bool>(alive_)]() mutable {
         if (!alive.expired()) wait_for_drain(std::move(done));
     });
--- /dev/null
+++ b/src/event/socket_address.cpp
@@ -0,0 +1,36 @@
+#include "event/socket_address.h"
+
+#include <arpa/inet.h>
+
+namespace silverreach::event {
+
+SocketAddress::SocketAddress(const std::string& ip, int port, bool v6) {
+    if (v6) {
+        auto* six = reinterpret_cast<sockaddr_in6*>(&storage);
+        six->sin6_family = AF_INET6;
+        six->sin6_port = htons(static_cast<std::uint16_t>(port));
+        inet_pton(AF_INET6, ip.c_str(), &six->sin6_addr);
+        size = sizeof *six;
+        return;
+    }
+    auto* four = reinterpret_cast<sockaddr_in*>(&storage);
+    four->sin_family = AF_INET;
+    four->sin_port = htons(static_cast<std::uint16_t>(port));
+    inet_pton(AF_INET, ip.c_str(), &four->sin_addr);
+    size = sizeof *four;
+}
+
+std::string SocketAddress::ip() const {
+    char text[INET6_ADDRSTRLEN] = "";
+    if (storage.ss_family == AF_INET6)
+        inet_ntop(AF_INET6, &reinterpret_cast<const sockaddr_in6&>(storage).sin6_addr, text, sizeof text);
+    else inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in&>(storage).sin_addr, text, sizeof text);
+    return text;
+}
+
+int SocketAddress::port() const {
+    // In the same place for both families.
+    return ntohs(reinterpret_cast<const sockaddr_in&>(storage).sin_port);
+}
+
+}  // namespace silverreach::event
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -1,8 +1,6 @@
 #include "event/stream.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
@@ -11,41 +9,14 @@
 #include <unistd.h>
 
 #include <cstring>
-#include <stdexcept>
+
+#include "event/socket_address.h"
 
 namespace silverreach::event {
 namespace {
 using namespace std::chrono_literals;
 constexpr std::size_t read_size = 64 * 1024, keep_capacity = 4096, most_pieces = 4;
-constexpr int accepts_a_turn = 64;
 
-struct Address {
-    sockaddr_storage storage{};
-    socklen_t size = 0;
-    sockaddr* get() { return reinterpret_cast<sockaddr*>(&storage); }
-};
-Address address_of(const std::string& ip, int port, bool v6) {
-    Address a;
-    if (v6) {
-        auto* six = reinterpret_cast<sockaddr_in6*>(&a.storage);
-        six->sin6_family = AF_INET6, six->sin6_port = htons(static_cast<std::uint16_t>(port));
-        inet_pton(AF_INET6, ip.c_str(), &six->sin6_addr);
-        a.size = sizeof *six;
-    } else {
-        auto* four = reinterpret_cast<sockaddr_in*>(&a.storage);
-        four->sin_family = AF_INET, four->sin_port = htons(static_cast<std::uint16_t>(port));
-        inet_pton(AF_INET, ip.c_str(), &four->sin_addr);
-        a.size = sizeof *four;
-    }
-    return a;
-}
-std::string text_of(const sockaddr_storage& a) {
-    char text[INET6_ADDRSTRLEN] = "";
-    if (a.ss_family == AF_INET6)
-        inet_ntop(AF_INET6, &reinterpret_cast<const sockaddr_in6&>(a).sin6_addr, text, sizeof text);
-    else inet_ntop(AF_INET, &reinterpret_cast<const sockaddr_in&>(a).sin_addr, text, sizeof text);
-    return text;
-}
 ssize_t peek(int fd) {
     char byte;
     return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
@@ -198,75 +169,11 @@
     if (queued() == 0) ::shutdown(fd_.get(), SHUT_WR);
 }
 
-Listener::Listener(Loop& loop, const std::string& ip, int port, bool v6, std::function<bool()> room,
-                   std::function<void(Fd, std::string)> accepted)
-    : loop_(loop),
-      spare_(::open("/dev/null", O_RDONLY | O_CLOEXEC)),
-      room_(std::move(room)),
-      accepted_(std::move(accepted)) {
-    const auto fail = [&](const char* what) {
-        throw std::runtime_error("listening on " + ip + " port " + std::to_string(port) + ": " + what + ": " +
-                                 std::strerror(errno));
-    };
-    fd_ = Fd(::socket(v6 ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    if (!fd_) fail("socket");
-    const int on = 1;
-    setsockopt(fd_.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
-    Address a = address_of(ip, port, v6);
-    if (::bind(fd_.get(), a.get(), a.size) != 0) fail("bind");
-    if (::listen(fd_.get(), SOMAXCONN) != 0) fail("listen");
-    a.size = sizeof a.storage;
-    getsockname(fd_.get(), a.get(), &a.size);
-    port_ = ntohs(reinterpret_cast<sockaddr_in*>(&a.storage)->sin_port);
-    io_ = std::make_unique<Io>(loop, fd_.get(), [this](int) { accept_some(); });
-    io_->want(readable);
-}
-
-void Listener::stop() {
-    // What the system has taken in its name would be reset. Bounded, as more may go on coming.
-    for (int turn = 0; turn < SOMAXCONN / accepts_a_turn && accept_some(); ++turn) {
-    }
-    io_->want(none);
-    fd_.reset();
-}
-
-bool Listener::accept_some() {
-    for (int i = 0; i < accepts_a_turn && fd_; ++i) {
-        sockaddr_storage from{};
-        socklen_t size = sizeof from;
-        const int fd =
-            ::accept4(fd_.get(), reinterpret_cast<sockaddr*>(&from), &size, SOCK_NONBLOCK | SOCK_CLOEXEC);
-        if (fd >= 0) {
-            Fd taken(fd);
-            if (room_()) accepted_(std::move(taken), text_of(from));
-            continue;
-        }
-        if (errno == ECONNABORTED || errno == EINTR) continue;
-        // Out of descriptors: one more connection is taken with the spare one and closed at once, so that the
-        // client learns it and this loop does not spin on a socket that stays readable.
-        if ((errno == EMFILE || errno == ENFILE) && spare_) {
-            spare_.reset();
-            Fd(::accept4(fd_.get(), nullptr, nullptr, SOCK_CLOEXEC)).reset();
-            spare_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
-            continue;
-        }
-        if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
-            io_->want(none);
-            loop_.after(100ms, [this] {
-                if (!spare_) spare_ = Fd(::open("/dev/null", O_RDONLY | O_CLOEXEC));
-                if (fd_) io_->want(readable);
-            });
-        }
-        return false;
-    }
-    return static_cast<bool>(fd_);
-}
-
 Fd connect_to(const std::string& ip, int port, bool v6, int& error) {
     Fd fd(::socket(v6 ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     error = 0;
     if (!fd) return error = errno, Fd();
-    Address a = address_of(ip, port, v6);
+    SocketAddress a(ip, port, v6);
     if (::connect(fd.get(), a.get(), a.size) != 0 && errno != EINPROGRESS) return error = errno, Fd();
     return fd;
 }
--- a/src/event/stream.h
+++ b/src/event/stream.h
@@ -1,4 +1,4 @@
-// Stream sockets for any protocol: a buffered connection and a listening socket with a limit.
+// Stream sockets for any protocol: a buffered connection.
 #pragma once
 
 #include <functional>
@@ -65,30 +65,6 @@
     std::uint64_t watched_from_turn_ = 0;  // the loop looks from this turn on
 };
 
-class Listener {
-  public:
-    // `accepted` gets each connection and the other side's address; while it returns false for `room` nothing
-    // is accepted beyond what is closed at once. Throws std::runtime_error with a plain message.
-    Listener(Loop& loop, const std::string& ip, int port, bool v6, std::function<bool()> room,
-             std::function<void(Fd, std::string)> accepted);
-    // Within `accepted`: since when the connection may have waited, with what its client wrote.
-    Micros waiting_since() const { return waiting_since_; }
-    int port() const { return port_; }
-    void stop();  // takes what the system has accepted already, then no more
-
-  private:
-    bool accept_some();  // whether there may be more
-    Loop& loop_;
-    Fd fd_;
-    Fd spare_;  // given up for a moment to close a connection when descriptors run out
-    int port_ = 0;
-    std::function<bool()> room_;
-    std::function<void(Fd, std::string)> accepted_;
-    std::unique_ptr<Io> io_;
-    Micros waiting_since_{0};
-    Micros unwatched_since_{0};  // the queue may have filled since then; 0: the loop looked
-};
-
 // A connecting socket, not blocking; an invalid one and `error` where the system refuses at once.
 Fd connect_to(const std::string& ip, int port, bool v6, int& error);
 
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -10,6 +10,7 @@
 #include "config/config.h"
 #include "core/core.h"
 #include "event/graveyard.h"
+#include "event/listener.h"
 #include "event/stream.h"
 #include "fronts/http/resolve.h"
 #include "fronts/http/translate.h"
@@ -38,6 +39,7 @@
     ~Front();
 
     int port() const;
+    bool listening() const { return listener_->listening(); }
     void stop_listening();
     std::size_t connections() const;
     std::size_t in_hand() const { return by_id_.size(); }
--- a/src/fronts/resp/front.cpp
+++ b/src/fronts/resp/front.cpp
@@ -27,10 +27,9 @@
 }
 Front::~Front() = default;
 
-// Room for one more. Where there is none the oldest that never said a whole command goes, else the one that
-// has been idle longest; a connection with a request in hand never does.
-bool Front::room() {
-    if (connections_.size() - lingering_ < limits_.connections) return true;
+// The oldest that never said a whole command, else the one that has been idle longest; never one with a
+// request in hand.
+Front::Connection* Front::longest_at_rest() {
     Connection* out = nullptr;
     for (const auto& c : connections_) {
         if (c->lingering() || (!c->silent() && !c->idle())) continue;
@@ -38,12 +37,25 @@
                             (c->silent() == out->silent() && c->since() < out->since());
         if (rather && (c->silent() || c->at_rest())) out = c.get();
     }
+    return out;
+}
+
+bool Front::room() {
+    if (connections_.size() - lingering_ < limits_.connections) return true;
+    Connection* out = longest_at_rest();
     if (!out) return ++stats_.turned_away, false;
     ++stats_.silent;
     out->leave(CloseReason::evicted);
     return true;
 }
 
+bool Front::give_up_idle() {
+    if (lingering_ > 0) return true;  // one is about to go
+    Connection* out = longest_at_rest();
+    if (out) out->leave(CloseReason::evicted);
+    return out != nullptr;
+}
+
 // Of too many that wait for their clients to end, the one that has waited longest is closed.
 void Front::lingers(Connection& connection) {
     if (++lingering_ <= limits_.lingering) return;
--- a/src/fronts/resp/front.h
+++ b/src/fronts/resp/front.h
@@ -18,6 +18,7 @@
 
 #include "core/core.h"
 #include "event/graveyard.h"
+#include "event/listener.h"
 #include "event/stream.h"
 #include "platform/request.h"
 
@@ -66,6 +67,10 @@
     void finish(RequestId id, const core::Final& answer);
     void answer(RequestId id, std::string_view value);  // a host's, whole
 
+    bool listening() const { return listener_->listening(); }
+    // Ends a connection that rests, for its descriptor; false where none does.
+    bool give_up_idle();
+    void on_shortage(std::function<bool()> give_up_idle) { listener_->on_shortage(std::move(give_up_idle)); }
     void stop_listening();  // takes what has been accepted by the system already, then no more
     // From now on a connection goes once its last request is answered, and what still comes is answered
     // before `end` (of the loop's time). After that one goes as soon as it has no request in hand.
@@ -95,6 +100,7 @@
         std::shared_ptr<const platform::OutCommand> out;
     };
     bool room();
+    Connection* longest_at_rest();
     void accepted(event::Fd fd);
     void over(RequestId id, std::string bytes);  // its answer, as it goes out
     void bury(Connection& connection);
--- a/src/upstream/resp/pool.cpp
+++ b/src/upstream/resp/pool.cpp
@@ -231,7 +231,8 @@
         pool.in_use.push_back(std::move(connection));
         return pool.in_use.back().get();
     }
-    if (!pool.endpoint || (open_ >= limits_.connections && !make_room())) return nullptr;
+    if (!pool.endpoint) return nullptr;
+    if (open_ >= limits_.connections && !give_up_idle()) return ++stats_.full, nullptr;
     int error = 0;
     event::Fd fd = event::connect_to(pool.endpoint->ip, pool.endpoint->port, pool.endpoint->v6, error);
     if (!fd) return nullptr;
@@ -241,14 +242,14 @@
 }
 
 // Closes the connection that has been idle longest, to any host.
-bool Upstream::make_room() {
+bool Upstream::give_up_idle() {
     Pool* from = nullptr;
     for (const auto& [name, pool] : pools_)
         if (!pool->coming.empty()) return drop_idle(*pool->coming.front()), true;
     for (const auto& [name, pool] : pools_)
         if (!pool->idle.empty() && (!from || pool->idle.front()->idle_since < from->idle.front()->idle_since))
             from = pool.get();
-    if (!from) return ++stats_.full, false;
+    if (!from) return false;
     drop_idle(*from->idle.front());
     return true;
 }
--- a/src/upstream/resp/pool.h
+++ b/src/upstream/resp/pool.h
@@ -64,6 +64,7 @@
     // Takes back an attempt that has not gone out whole; false where it has, or is not known.
     bool withdraw(const core::AttemptKey& key);
     void probe(const std::string& host);
+    bool give_up_idle();  // closes a connection that carries nothing; false where there is none
     // Where hosts listen. A connection belongs to the uid and the address at which it was opened.
     void hosts_changed(const platform::TargetList& list);
     void take_back_unlisted();  // attempts that have not gone out to hosts that are not ready any more: moot
@@ -87,7 +88,6 @@
     template <typename Goes>
     void close_unused(Pool& pool, Goes goes);
     void drop_idle(Connection& connection);
-    bool make_room();
     void bury(std::unique_ptr<Connection> connection);
     void sweep();
 
--- a/standins/server.h
+++ b/standins/server.h
@@ -7,6 +7,7 @@
 #include <unordered_map>
 
 #include "event/graveyard.h"
+#include "event/listener.h"
 #include "event/stream.h"
 #include "http/parser.h"
 
--- a/tests/event/event_test.cpp
+++ b/tests/event/event_test.cpp
@@ -3,6 +3,7 @@
 
 #include <random>
 
+#include "event/listener.h"
 #include "event/stream.h"
 #include "event/token_timers.h"
 
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "event/graveyard.h"
+#include "event/listener.h"
 #include "event/stream.h"
 #include "resp/command.h"
 #include "resp/reply.h"
