Start and SIGHUP are tried again for a while; signals and watches survive failing calls

Causes: run_node tried its start and a new configuration once; libev gives a watch up for good where epoll_ctl fails, its own for signals too, and ends the process where epoll_wait does. Change: cli/node_program: a start is tried every 50 ms, 8 s for what the system refuses, 3 s for a file that is not whole, with start_delayed in the log and a clear error at the end; SIGHUP reads every 100 ms for 10 s or until the next signal, the old configuration serving. cli/files reads with EINTR and tells errors. event/signal notes signals and looks at each turn; Io asks again for a watch that was refused; a failing wait is made again.

--- a/drill/commands.cpp
+++ b/drill/commands.cpp
@@ -12,6 +12,7 @@
 #include "config/config.h"
 #include "drill/drill.h"
 #include "drill/fleet/socket_fleet.h"
+#include "event/signal.h"
 #include "standins/relay.h"
 #include "standins/roster.h"
 
--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -10,8 +10,9 @@
 
 #include "cli/instance.h"
 #include "cli/keys.h"
-#include "cli/node.h"
+#include "cli/node_program.h"
 #include "drill/drill.h"
+#include "event/signal.h"
 
 namespace silverreach::cli {
 namespace {
@@ -148,8 +149,9 @@
     serving->callback([&] { code = serve(path); });
 
     auto* noding = app.add_subcommand(
-        "node", "Run one instance on the operators' platform, configured by NODE_CONFIG. SIGHUP follows "
-                "another discovery; SIGTERM ends it after what is in hand");
+        "node",
+        "Run one instance on the operators' platform, configured by NODE_CONFIG. SIGHUP follows "
+        "another discovery; SIGTERM ends it after what is in hand");
     noding->callback([&] { code = run_node(); });
 
     auto* checking =
--- /dev/null
+++ b/src/cli/files.cpp
@@ -0,0 +1,40 @@
+#include "cli/files.h"
+
+#include <errno.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+namespace silverreach::cli {
+namespace {
+int open_to_read(const std::string& path) {
+    int fd = -1;
+    do fd = ::open(path.c_str(), O_RDONLY | O_CLOEXEC);
+    while (fd < 0 && errno == EINTR);
+    return fd;
+}
+std::optional<std::string> read_all(int fd) {
+    std::string text;
+    char buffer[65536];
+    while (true) {
+        const ssize_t n = ::read(fd, buffer, sizeof buffer);
+        if (n == 0) return text;
+        if (n > 0) text.append(buffer, static_cast<std::size_t>(n));
+        else if (errno != EINTR) return std::nullopt;
+    }
+}
+}  // namespace
+
+std::optional<std::string> read_file(const std::string& path) {
+    const int fd = open_to_read(path);
+    if (fd < 0) return std::nullopt;
+    auto text = read_all(fd);
+    ::close(fd);
+    return text;
+}
+
+std::string folder_of(const std::string& path) {
+    const std::size_t slash = path.rfind('/');
+    return slash == std::string::npos ? "." : slash == 0 ? "/" : path.substr(0, slash);
+}
+
+}  // namespace silverreach::cli
--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -23,17 +23,6 @@
 }
 }  // namespace
 
-std::optional<std::string> read_file(const std::string& path) {
-    std::ifstream in(path, std::ios::binary);
-    std::ostringstream text;
-    if (!in || !(text << in.rdbuf())) return std::nullopt;
-    return text.str();
-}
-std::string folder_of(const std::string& path) {
-    const std::size_t slash = path.rfind('/');
-    return slash == std::string::npos ? "." : slash == 0 ? "/" : path.substr(0, slash);
-}
-
 Instance::Instance(event::Loop& loop, const config::Config& config, std::string folder, log::Log& log)
     : loop_(loop),
       config_(config),
--- a/src/cli/instance.h
+++ b/src/cli/instance.h
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 
+#include "cli/files.h"
 #include "config/config.h"
 #include "core/core.h"
 #include "event/background.h"
@@ -80,7 +81,4 @@
     std::unique_ptr<roster::Roster> roster_;
 };
 
-std::optional<std::string> read_file(const std::string& path);
-std::string folder_of(const std::string& path);
-
 }  // namespace silverreach::cli
--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -1,26 +1,15 @@
 #include "cli/node.h"
 
 #include <fmt/format.h>
-#include <malloc.h>
-#include <signal.h>
-#include <stdlib.h>
 #include <sys/resource.h>
 
 #include <algorithm>
-#include <iostream>
 #include <stdexcept>
 
-#include "cli/commands.h"
-#include "cli/instance.h"
-
 namespace silverreach::cli {
 namespace {
 using namespace std::chrono_literals;
-constexpr Micros counts_period = 10s, drain_look = 10ms;
-constexpr Micros notice = 500ms;  // that clients may need to see that this instance is ending
-constexpr Micros killed_after = 700ms,
-                 deadline_counted = 3s;   // SIGKILL: so long after SIGTERM and a deadline
-constexpr Micros kill_margin = 100ms;     // before it, for the last answer to get out
+constexpr Micros drain_look = 10ms;
 constexpr int reserved_descriptors = 24;  // listener, discovery, peers, loop, log, files
 // For the log, in the order of the types.
 const std::array<std::string, 7> refuse_texts{"quota",   "ceiling",   "open", "pressed",
@@ -41,16 +30,6 @@
     if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) return told.sockets;
     return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, static_cast<rlim_t>(told.sockets)));
 }
-// SILVERREACH_LOG=debug tells of every request, attempt and close.
-log::Level log_level() {
-    const char* level = getenv("SILVERREACH_LOG");
-    return level && std::string_view(level) == "debug" ? log::Level::debug : log::Level::info;
-}
-platform::NodeConfig load(const char* path) {
-    const auto text = read_file(path);
-    if (!text) throw std::runtime_error(std::string(path) + ": cannot be read");
-    return platform::read_config(*text, [](const char* name) { return getenv(name); });
-}
 }  // namespace
 
 Node::Node(event::Loop& loop, platform::NodeConfig config, log::Log& log)
@@ -317,61 +296,4 @@
 }
 void Node::probe_ended(ProbeEnded ended) { core_->probe_ended(now(), std::move(ended)); }
 
-// ---- the command -----------------------------------------------------------------------------------------
-
-int run_node() {
-    const char* path = getenv("NODE_CONFIG");
-    if (!path || !*path) {
-        std::cerr << "NODE_CONFIG: expected the name of the configuration file\n";
-        return Exit::bad_usage;
-    }
-    signal(SIGPIPE, SIG_IGN);
-    // One arena, and pieces given back early: memory is limited and the process is one thread.
-    mallopt(M_ARENA_MAX, 1);
-    mallopt(M_TRIM_THRESHOLD, 256 * 1024);
-    mallopt(M_MMAP_THRESHOLD, 256 * 1024);
-    // Signals before it is ready must not end the process; they are looked at once the loop runs.
-    event::Loop loop;
-    Node* node = nullptr;
-    Micros longest{0};
-    log::Log log(log::Form::readable, log_level(), "");
-    event::Signal hup(loop, SIGHUP, [&] {
-        if (!node) return;
-        try {
-            node->reload(load(path));
-        } catch (const std::exception& error) {
-            log.write(log::Level::error, "configuration_kept", {{"why", std::string(error.what())}});
-        }
-    });
-    const auto stop = [&] {
-        if (!node) return;
-        const Micros most = std::min(longest, deadline_counted) + killed_after - kill_margin;
-        node->drain(notice, most, [&] { loop.stop(); });
-    };
-    event::Signal term(loop, SIGTERM, stop), interrupt(loop, SIGINT, stop);
-    try {
-        platform::NodeConfig config = load(path);
-        for (const RequestClass& c : config.settings.classes) longest = std::max(longest, c.deadline);
-        Node running(loop, std::move(config), log);
-        node = &running;
-        log.write(log::Level::warning, "ready", running.limits());
-        std::function<void()> counts = [&] {
-            running.log_counts();
-            loop.after(counts_period, counts);
-        };
-        loop.after(counts_period, counts);
-        loop.run();
-        running.log_counts();
-        log.write(log::Level::warning, "stopped", {});
-        node = nullptr;
-    } catch (const std::invalid_argument& error) {
-        std::cerr << path << ": " << error.what() << "\n";
-        return Exit::bad_answer;
-    } catch (const std::exception& error) {
-        std::cerr << error.what() << "\n";
-        return Exit::system_refused;
-    }
-    return Exit::done;
-}
-
 }  // namespace silverreach::cli
--- a/src/cli/node.h
+++ b/src/cli/node.h
@@ -78,7 +78,4 @@
     std::array<std::uint64_t, 8> ended_{};    // attempts, by Outcome
 };
 
-// `silverreach node`; returns the exit code.
-int run_node();
-
 }  // namespace silverreach::cli
--- /dev/null
+++ b/src/cli/node_program.cpp
@@ -0,0 +1,168 @@
+#include "cli/node_program.h"
+
+#include <malloc.h>
+#include <signal.h>
+#include <stdlib.h>
+
+#include <algorithm>
+#include <iostream>
+#include <stdexcept>
+#include <string_view>
+
+#include "cli/commands.h"
+#include "cli/files.h"
+#include "cli/node.h"
+#include "event/signal.h"
+
+namespace silverreach::cli {
+namespace {
+using namespace std::chrono_literals;
+constexpr Micros counts_period = 10s;
+constexpr Micros notice = 500ms;  // that clients may need to see that this instance is ending
+constexpr Micros killed_after = 700ms,
+                 deadline_counted = 3s;   // SIGKILL: so long after SIGTERM and a deadline
+constexpr Micros kill_margin = 100ms;     // before it, for the last answer to get out
+constexpr Micros start_again = 50ms;      // between tries of a start
+constexpr Micros start_most = 8s;         // for what the system refuses: a socket, an address
+constexpr Micros start_config_most = 3s;  // for a configuration that cannot be read or is not whole
+constexpr Micros reload_again = 100ms;    // between tries of a new configuration
+constexpr Micros reload_most = 10s;
+
+// SILVERREACH_LOG=debug tells of every request, attempt and close.
+log::Level log_level() {
+    const char* level = getenv("SILVERREACH_LOG");
+    return level && std::string_view(level) == "debug" ? log::Level::debug : log::Level::info;
+}
+
+// The file cannot be read now, or is not one JSON object: it may be being written.
+struct ConfigNotWhole : std::runtime_error {
+    ConfigNotWhole(const std::string& why, int code) : std::runtime_error(why), exit_code(code) {}
+    int exit_code;
+};
+platform::NodeConfig load(const std::string& path) {
+    const auto text = read_file(path);
+    if (!text) throw ConfigNotWhole(path + ": cannot be read", Exit::system_refused);
+    if (!platform::is_object(*text))
+        throw ConfigNotWhole(path + ": configuration: expected one JSON object", Exit::bad_answer);
+    try {
+        return platform::read_config(*text, [](const char* name) { return getenv(name); });
+    } catch (const std::invalid_argument& error) {
+        throw std::invalid_argument(path + ": " + error.what());
+    }
+}
+
+class NodeProgram {
+  public:
+    explicit NodeProgram(std::string path)
+        : path_(std::move(path)),
+          log_(log::Form::readable, log_level(), ""),
+          hup_(loop_, SIGHUP, [this] { reload(); }),
+          term_(loop_, SIGTERM, [this] { stop(); }),
+          interrupt_(loop_, SIGINT, [this] { stop(); }) {}
+
+    int run() {
+        start_began_ = event::Loop::clock();
+        loop_.after(0us, [this] { start(); });
+        loop_.run();
+        if (!node_) return exit_code_;
+        node_->log_counts();
+        log_.write(log::Level::warning, "stopped", {});
+        return exit_code_;
+    }
+
+  private:
+    // What fails for a moment, the system's tables or the file, is tried again for a while.
+    void start() {
+        if (stopping_) return loop_.stop();
+        try {
+            platform::NodeConfig config = load(path_);
+            for (const RequestClass& c : config.settings.classes) longest_ = std::max(longest_, c.deadline);
+            node_ = std::make_unique<Node>(loop_, std::move(config), log_);
+        } catch (const ConfigNotWhole& error) {
+            return start_later(error.what(), start_config_most, error.exit_code);
+        } catch (const std::invalid_argument& error) {
+            return give_up(error.what(), Exit::bad_answer);
+        } catch (const std::exception& error) {
+            return start_later(error.what(), start_most, Exit::system_refused);
+        }
+        log_.write(log::Level::warning, "ready", node_->limits());
+        loop_.after(counts_period, [this] { count(); });
+    }
+    void start_later(const std::string& why, Micros most, int code) {
+        if (event::Loop::clock() - start_began_ >= most) return give_up(why, code);
+        if (why != start_delayed_by_) log_.write(log::Level::warning, "start_delayed", {{"why", why}});
+        start_delayed_by_ = why;
+        loop_.after(start_again, [this] { start(); });
+    }
+    void give_up(const std::string& why, int code) {
+        std::cerr << why << "\n";
+        exit_code_ = code;
+        loop_.stop();
+    }
+    void count() {
+        node_->log_counts();
+        loop_.after(counts_period, [this] { count(); });
+    }
+
+    // The file may be half written when the signal comes: it is read again until it is whole, for a while, or
+    // until the next signal. The old configuration serves meanwhile.
+    void reload() {
+        if (!node_) return;
+        reload_until_ = loop_.now() + reload_most;
+        reload_told_ = false;
+        try_reload(++reload_turn_);
+    }
+    void try_reload(std::uint64_t turn) {
+        if (turn != reload_turn_) return;
+        try {
+            return node_->reload(load(path_));
+        } catch (const std::exception& error) {
+            const bool last = loop_.now() >= reload_until_;
+            if (!std::exchange(reload_told_, true) || last)
+                log_.write(log::Level::error, "configuration_kept",
+                           {{"why", std::string(error.what())}, {"tried_again", std::int64_t{!last}}});
+            if (last) return;
+        }
+        loop_.after(reload_again, [this, turn] { try_reload(turn); });
+    }
+
+    void stop() {
+        stopping_ = true;
+        if (!node_) return;  // before it is ready: the next try ends it
+        const Micros most = std::min(longest_, deadline_counted) + killed_after - kill_margin;
+        node_->drain(notice, most, [this] { loop_.stop(); });
+    }
+
+    const std::string path_;
+    event::Loop loop_;
+    log::Log log_;
+    std::unique_ptr<Node> node_;
+    Micros longest_{0}, start_began_{0}, reload_until_{0};
+    std::string start_delayed_by_;
+    std::uint64_t reload_turn_ = 0;
+    bool stopping_ = false, reload_told_ = false;
+    int exit_code_ = Exit::done;
+    event::Signal hup_, term_, interrupt_;
+};
+}  // namespace
+
+int run_node() {
+    const char* path = getenv("NODE_CONFIG");
+    if (!path || !*path) {
+        std::cerr << "NODE_CONFIG: expected the name of the configuration file\n";
+        return Exit::bad_usage;
+    }
+    signal(SIGPIPE, SIG_IGN);
+    // One arena, and pieces given back early: memory is limited and the process is one thread.
+    mallopt(M_ARENA_MAX, 1);
+    mallopt(M_TRIM_THRESHOLD, 256 * 1024);
+    mallopt(M_MMAP_THRESHOLD, 256 * 1024);
+    try {
+        return NodeProgram(path).run();
+    } catch (const std::exception& error) {
+        std::cerr << error.what() << "\n";
+        return Exit::system_refused;
+    }
+}
+
+}  // namespace silverreach::cli
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -11,11 +11,15 @@
 namespace {
 using namespace std::chrono_literals;
 double seconds(Micros t) { return static_cast<double>(t.count()) / 1e6; }
-constexpr Micros no_wait = 1ms;   // a wait shorter than this found what was ready before it began
+constexpr Micros no_wait = 1ms;      // a wait shorter than this found what was ready before it began
+constexpr Micros watch_again = 5ms;  // after the system refused to watch a descriptor
+constexpr timespec failed_wait{0, 1'000'000};
 constexpr Micros held_up = 20ms;  // over the time for which a timer asked: the process did not run
 }  // namespace
 
 Loop::Loop() : loop_(ev_loop_new(EVFLAG_AUTO)) {
+    // A wait that fails, for want of memory for one, is made again; libev would end the process.
+    ev_set_syserr_cb([](const char*) noexcept { ::nanosleep(&failed_wait, nullptr); });
     if (!loop_) throw std::runtime_error("event loop: the system offers no way to wait for sockets");
     now_ = wait_ended_ = ready_since_ = clock();
     ev_timer_init(
@@ -63,6 +67,7 @@
 void Loop::after_wait() {
     const Micros last_wait_ended = std::exchange(wait_ended_, clock());
     now_ = wait_ended_;
+    if (each_turn_) each_turn_();
     if (wait_ended_ - wait_began_ < no_wait) ready_since_ = last_wait_ended;
     else if (armed_ != Micros(0) && wait_ended_ > std::max(armed_, wait_began_) + held_up)
         ready_since_ = wait_began_;
@@ -100,11 +105,25 @@
 
 Io::Io(Loop& loop, int fd, std::function<void(int)> call) : loop_(loop), call_(std::move(call)) {
     ev_io_init(
-        &io_, [](struct ev_loop*, ev_io* w, int got) { static_cast<Io*>(w->data)->call_(got); }, fd, 0);
+        &io_,
+        [](struct ev_loop*, ev_io* w, int got) {
+            Io& io = *static_cast<Io*>(w->data);
+            if (got & EV_ERROR) io.failed();
+            else io.call_(got);
+        },
+        fd, 0);
     // Before timers of the same turn: after a stall what has come is read before anybody is found silent.
     ev_set_priority(&io_, 1);
     io_.data = this;
 }
+// The system would not watch it (no memory, too many watches), and libev has given the watch up. What its
+// owner wants is asked for again a moment later, as nothing else would ever wake it.
+void Io::failed() {
+    const int wanted = std::exchange(interest_, none);
+    loop_.after(watch_again, [this, wanted, alive = std::weak_ptr<bool>(alive_)] {
+        if (!alive.expired() && interest_ == none) want(wanted);
+    });
+}
 Io::~Io() { ev_io_stop(loop_.raw(), &io_); }
 void Io::want(int interest) {
     if (interest == interest_) return;
@@ -115,14 +134,6 @@
     ev_io_start(loop_.raw(), &io_);
 }
 
-Signal::Signal(Loop& loop, int number, std::function<void()> call) : loop_(loop), call_(std::move(call)) {
-    ev_signal_init(
-        &signal_, [](struct ev_loop*, ev_signal* w, int) { static_cast<Signal*>(w->data)->call_(); }, number);
-    signal_.data = this;
-    ev_signal_start(loop_.raw(), &signal_);
-}
-Signal::~Signal() { ev_signal_stop(loop_.raw(), &signal_); }
-
 FileWatch::FileWatch(Loop& loop, std::string path, Micros period, std::function<void()> call)
     : loop_(loop), path_(std::move(path)), period_(period), call_(std::move(call)), last_(look()) {
     again();
--- a/src/event/loop.h
+++ b/src/event/loop.h
@@ -37,6 +37,8 @@
     struct ev_loop* raw() const {
         return loop_;
     }
+    // Called in each turn, before anything else of it.
+    void each_turn(std::function<void()> call) { each_turn_ = std::move(call); }
 
   private:
     struct Due {
@@ -59,6 +61,7 @@
     mutable Micros now_{0};
     Micros wait_began_{0}, wait_ended_{0}, ready_since_{0};
     std::uint64_t turn_ = 0;
+    std::function<void()> each_turn_;
 };
 
 enum Interest { none = 0, readable = EV_READ, writable = EV_WRITE };
@@ -73,23 +76,12 @@
     void want(int interest);  // of Interest; no cost where nothing changes
 
   private:
+    void failed();
     Loop& loop_;
     ev_io io_{};
     std::function<void(int)> call_;
     int interest_ = none;
-};
-
-class Signal {
-  public:
-    Signal(Loop& loop, int number, std::function<void()> call);
-    ~Signal();
-    Signal(const Signal&) = delete;
-    Signal& operator=(const Signal&) = delete;
-
-  private:
-    Loop& loop_;
-    ev_signal signal_{};
-    std::function<void()> call_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
 // Calls when a file's content may have changed; looks once in `period`. (libev's own watcher compares whole
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -85,6 +85,12 @@
 }
 }  // namespace
 
+bool is_object(std::string_view text) {
+    simdjson::dom::parser parser;
+    json::element root;
+    return parser.parse(text.data(), text.size()).get(root) == simdjson::SUCCESS && root.is_object();
+}
+
 NodeConfig read_config(std::string_view text, const std::function<const char*(const char*)>& variable) {
     simdjson::dom::parser parser;
     json::element root;
--- a/src/platform/config.h
+++ b/src/platform/config.h
@@ -36,4 +36,7 @@
 // environment variable or nothing. An unknown key is passed over.
 NodeConfig read_config(std::string_view json, const std::function<const char*(const char*)>& variable);
 
+// Whether the text is one whole JSON object.
+bool is_object(std::string_view json);
+
 }  // namespace silverreach::platform
