--- /dev/null
+++ b/tests/faults/discovery_test.cpp
@@ -0,0 +1,13 @@
+// Discovery that takes its time.
+#include "tests/faults/rig.h"
+
+using namespace fault_test;
+
+TEST(SlowDiscovery, IsWaitedForLonger) {
+    FaultNode n;
+    n.discovery->patience = 1500ms;
+    n.discovery->first = Discovery::list(50, true, n.hosts[0]->target("s-1", "draining"));
+    ASSERT_TRUE(n.start());
+    EXPECT_TRUE(n.run([&] { return n.process->log().find("revision=50") != std::string::npos; }, 6s))
+        << n.process->log();
+}
