Want of something here blames no host; connects go on after EINTR; slow discovery is heard

Causes: both pools counted a connect that fails for want of a port, memory, a descriptor or a route as the host's failure, at once or under way, probes too; EINTR of connect gave the socket up; each watch had 1 s to its first word, whatever went before. Change: event::local_shortage; such attempts and probes end as moot, which blocks no host; for want of a descriptor the pool gives up an idle connection first; EINTR counts as under way; the watch's patience doubles up to 3 s while none speaks.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -650,7 +650,7 @@
         Host& h = it->second;
         const bool good = e.outcome == Outcome::good;
         if (good) note_report(h, e.report);
-        else h.blocked_until = std::max(h.blocked_until, now_ + report_valid);
+        else if (e.outcome != Outcome::moot) h.blocked_until = std::max(h.blocked_until, now_ + report_valid);
         for (const RequestId id : std::exchange(h.probed_for, {})) {
             const auto found = requests_.find(id);
             if (found == requests_.end() || !found->second.probing) continue;
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -169,12 +169,34 @@
     if (queued() == 0) ::shutdown(fd_.get(), SHUT_WR);
 }
 
+bool local_shortage(int error) {
+    switch (error) {
+        case EMFILE:
+        case ENFILE:
+        case ENOBUFS:
+        case ENOMEM:
+        case EADDRNOTAVAIL:
+        case EADDRINUSE:
+        case EAGAIN:
+        case ENETUNREACH:
+        case ENETDOWN:
+        case EACCES:
+        case EPERM:
+            return true;
+        default:
+            return false;
+    }
+}
+
 Fd connect_to(const std::string& ip, int port, bool v6, int& error) {
     Fd fd(::socket(v6 ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     error = 0;
     if (!fd) return error = errno, Fd();
     SocketAddress a(ip, port, v6);
-    if (::connect(fd.get(), a.get(), a.size) != 0 && errno != EINPROGRESS) return error = errno, Fd();
+    // Interrupted, it goes on by itself like one under way.
+    const bool under_way =
+        ::connect(fd.get(), a.get(), a.size) == 0 || errno == EINPROGRESS || errno == EINTR;
+    if (!under_way) return error = errno, Fd();
     return fd;
 }
 
--- a/src/roster/watch.cpp
+++ b/src/roster/watch.cpp
@@ -25,8 +25,9 @@
     void close() { stream_.close(), over_ = true; }
     // Life is an empty line or a whole object; bytes that never make one are none.
     bool silent(Micros now) const {
-        return !over_ && now - heard_ >= (spoke_ ? watch_.times_.silent : watch_.times_.first);
+        return !over_ && now - heard_ >= (spoke_ ? watch_.times_.silent : watch_.first_);
     }
+    bool spoke() const { return spoke_; }
     // It told, and not only to end again at once.
     bool lived(Micros now) const { return spoke_ && now - begun_ >= watch_.times_.lived; }
 
@@ -60,6 +61,7 @@
         heard_ = watch_.loop_.now();
         if (watch_.doubtful(*list)) return end("a list in doubt");
         spoke_ = true;
+        watch_.first_ = watch_.times_.first;
         watch_.whole_ = watch_.told_ = false;
         watch_.revision_ = list->revision;
         watch_.hooks_.changed(std::move(*list));
@@ -89,7 +91,8 @@
       revision_(revision),
       hooks_(std::move(hooks)),
       times_(times),
-      wait_(times.wait_first) {
+      wait_(times.wait_first),
+      first_(times.first) {
     follow();
     again();
 }
@@ -101,6 +104,7 @@
     revision_ = -1;
     doubted_.reset();
     wait_ = times_.wait_first;
+    first_ = times_.first;
     follow();
 }
 
@@ -145,6 +149,8 @@
         old_.reset();
         if (now_ && now_->silent(loop_.now())) {
             const bool lived = now_->lived(loop_.now());
+            // A slow service may need longer; one that is gone costs no more than a call in that time.
+            if (!now_->spoke()) first_ = std::min(first_ * 2, times_.first_most);
             now_->close();
             old_ = std::move(now_);
             lost("silence", lived);
--- a/src/roster/watch.h
+++ b/src/roster/watch.h
@@ -25,7 +25,8 @@
     };
     struct Times {
         Micros silent{2'600'000};                       // the service says something every 2 s
-        Micros first{1'000'000};                        // from the connect to the first object
+        Micros first{1'000'000};                        // from the connect to the first object,
+        Micros first_most{3'000'000};                   // doubled up to this while none comes in time
         Micros wait_first{50'000}, wait_most{800'000};  // before another try, doubled each time
         Micros lived{500'000};  // a watch that has told for so long is followed by the next at once
         Micros look{100'000};   // between looks at the first two
@@ -51,6 +52,7 @@
     Hooks hooks_;
     Times times_;
     Micros wait_;
+    Micros first_;                         // patience with the watch that runs
     bool whole_ = false;                   // the whole list is asked for, whatever the revision
     std::optional<std::int64_t> doubted_;  // the revision of the list before, which was not believed
     std::uint64_t turn_ = 0;
--- a/src/upstream/resp/pool.cpp
+++ b/src/upstream/resp/pool.cpp
@@ -1,5 +1,7 @@
 #include "upstream/resp/pool.h"
 
+#include <errno.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -104,8 +106,9 @@
         if (!busy_) return ++up_.stats_.stale, up_.drop_idle(*this);
         lost();
     }
-    void on_broken(int) override {
+    void on_broken(int error) override {
         if (!busy_) return ++up_.stats_.stale, up_.drop_idle(*this);
+        if (!connected_ && event::local_shortage(error)) return take_back();
         lost();
     }
 
@@ -217,7 +220,7 @@
 
 // A connection that has rested may be closed by its host just as a request goes out on it, which then ends as
 // one that may have run: no harm to a request that may be repeated, the end of one that must not.
-Upstream::Connection* Upstream::take(Pool& pool, bool repeatable) {
+Upstream::Connection* Upstream::take_idle(Pool& pool, bool repeatable) {
     while (!pool.idle.empty() && (repeatable || loop_.now() - pool.idle.back()->idle_since < limits_.sure)) {
         auto connection = std::move(pool.idle.back());
         pool.idle.pop_back();
@@ -231,14 +234,36 @@
         pool.in_use.push_back(std::move(connection));
         return pool.in_use.back().get();
     }
-    if (!pool.endpoint) return nullptr;
+    return nullptr;
+}
+
+// Without room here nothing was tried, and the host is not to blame.
+Upstream::Connection* Upstream::take(Pool* pool, bool repeatable, Outcome& failed) {
+    failed = Outcome::connect_failed;
+    if (!pool) return nullptr;
+    if (Connection* idle = take_idle(*pool, repeatable)) return idle;
+    if (!pool->endpoint) return nullptr;
+    failed = Outcome::moot;
     if (open_ >= limits_.connections && !give_up_idle()) return ++stats_.full, nullptr;
     int error = 0;
-    event::Fd fd = event::connect_to(pool.endpoint->ip, pool.endpoint->port, pool.endpoint->v6, error);
-    if (!fd) return nullptr;
+    event::Fd fd = open(*pool, error);
+    if (!fd) {
+        if (!event::local_shortage(error)) failed = Outcome::connect_failed;
+        return nullptr;
+    }
     ++stats_.opened, ++open_;
-    pool.in_use.push_back(std::make_unique<Connection>(*this, pool, std::move(fd)));
-    return pool.in_use.back().get();
+    pool->in_use.push_back(std::make_unique<Connection>(*this, *pool, std::move(fd)));
+    return pool->in_use.back().get();
+}
+
+// For want of a descriptor a connection that carries nothing goes first.
+event::Fd Upstream::open(const Pool& pool, int& error) {
+    const auto connect = [&] {
+        return event::connect_to(pool.endpoint->ip, pool.endpoint->port, pool.endpoint->v6, error);
+    };
+    event::Fd fd = connect();
+    if (!fd && (error == EMFILE || error == ENFILE) && give_up_idle()) fd = connect();
+    return fd;
 }
 
 // Closes the connection that has been idle longest, to any host.
@@ -256,12 +281,9 @@
 
 void Upstream::send(const core::AttemptKey& key, const std::string& host,
                     std::shared_ptr<const platform::OutCommand> command) {
-    Pool* to = pool(host);
-    Connection* connection = to ? take(*to, command->repeatable) : nullptr;
+    Answer a;
+    Connection* connection = take(pool(host), command->repeatable, a.outcome);
     if (!connection) {
-        // Without room here nothing was tried, and the host is not to blame.
-        Answer a;
-        a.outcome = to && to->endpoint ? Outcome::moot : Outcome::connect_failed;
         return events_.attempt_ended(key, host, 0us, std::move(a));
     }
     by_key_[key] = connection;
@@ -279,9 +301,9 @@
 }
 
 void Upstream::probe(const std::string& host) {
-    Pool* to = pool(host);
-    Connection* connection = to ? take(*to, true) : nullptr;
-    if (!connection) return events_.probe_ended({host, Outcome::connect_failed, 0us, {}});
+    Outcome failed = Outcome::moot;
+    Connection* connection = take(pool(host), true, failed);
+    if (!connection) return events_.probe_ended({host, failed, 0us, {}});
     std::string command;
     wire::append_array(command, limits_.ask_load ? 2 : 1);
     wire::append_bulk(command, limits_.ask_load ? "INFO" : "PING");
--- a/src/upstream/resp/pool.h
+++ b/src/upstream/resp/pool.h
@@ -79,7 +79,10 @@
     class Connection;
     struct Pool;
     Pool* pool(const std::string& host);
-    Connection* take(Pool& pool, bool repeatable);
+    // Nothing where none is to be had; `failed` then says how an attempt ends by it.
+    Connection* take(Pool* pool, bool repeatable, Outcome& failed);
+    Connection* take_idle(Pool& pool, bool repeatable);
+    event::Fd open(const Pool& pool, int& error);
     static std::vector<std::unique_ptr<Connection>>::iterator find(
         std::vector<std::unique_ptr<Connection>>& among, const Connection& connection);
     void release(Connection& connection, bool reusable);
--- a/src/upstream/upstream.cpp
+++ b/src/upstream/upstream.cpp
@@ -77,10 +77,11 @@
         if (parser_.done()) answer_whole(true);
         else give_up(Outcome::reset);
     }
-    void on_broken(int) override {
+    void on_broken(int error) override {
         if (!busy()) return drop();
         // Bytes of the request went out only after the connection stood.
-        give_up(connected_ ? Outcome::reset : Outcome::connect_failed);
+        if (connected_) return give_up(Outcome::reset);
+        give_up(event::local_shortage(error) ? Outcome::moot : Outcome::connect_failed);
     }
 
     // ---- the parser's ----
@@ -210,7 +211,8 @@
     return connection;
 }
 
-Upstream::Connection* Upstream::open(Pool& pool, bool probe) {
+Upstream::Connection* Upstream::open(Pool& pool, bool probe, Outcome& failed) {
+    failed = Outcome::connect_failed;
     if (auto idle = take_idle(pool)) {
         pool.in_use.push_back(std::move(idle));
         return pool.in_use.back().get();
@@ -220,7 +222,10 @@
     if (!pool.endpoint || (full && !probe)) return nullptr;
     int error = 0;
     event::Fd fd = event::connect_to(pool.endpoint->ip, pool.endpoint->port, pool.endpoint->v6, error);
-    if (!fd) return nullptr;
+    if (!fd) {
+        if (event::local_shortage(error)) failed = Outcome::moot;
+        return nullptr;
+    }
     ++opened_;
     pool.in_use.push_back(std::make_unique<Connection>(*this, pool, std::move(fd)));
     return pool.in_use.back().get();
@@ -228,8 +233,9 @@
 
 void Upstream::send(const core::AttemptKey& key, const std::string& host,
                     std::shared_ptr<const OutRequest> request) {
-    Connection* connection = open(pool(host), false);
-    if (!connection) return events_.attempt_ended(key, host, Outcome::connect_failed, 0us, {}, 0);
+    Outcome failed = Outcome::connect_failed;
+    Connection* connection = open(pool(host), false, failed);
+    if (!connection) return events_.attempt_ended(key, host, failed, 0us, {}, 0);
     by_key_[key] = connection;
     connection->begin(key, std::move(request));
 }
@@ -249,8 +255,9 @@
 }
 
 void Upstream::probe(const std::string& host) {
-    Connection* connection = open(pool(host), true);
-    if (!connection) return events_.probe_ended({host, Outcome::connect_failed, 0us, {}});
+    Outcome failed = Outcome::connect_failed;
+    Connection* connection = open(pool(host), true, failed);
+    if (!connection) return events_.probe_ended({host, failed, 0us, {}});
     auto request = std::make_shared<OutRequest>();
     request->head = "GET " + config_.hosts().probe_path() + " HTTP/1.1\r\nHost: " + host + "\r\n";
     connection->begin(no_key, std::move(request));
--- a/src/upstream/upstream.h
+++ b/src/upstream/upstream.h
@@ -73,7 +73,8 @@
     struct Pool;
     Pool& pool(const std::string& host);
     std::unique_ptr<Connection> take_idle(Pool& pool);
-    Connection* open(Pool& pool, bool probe);
+    // Nothing where none is to be had; `failed` then says how an attempt ends by it.
+    Connection* open(Pool& pool, bool probe, Outcome& failed);
     void release(Connection& connection, bool reusable);
     void bury(std::unique_ptr<Connection> connection);
     void sweep();
