Slow start by the gateway's own clock: what it saw start began then, whatever clocks say

Cause: the age of a start was the gateway's wall clock at its start less the told start time. Change: src/decisions/host_starts: a host that appears later than 1 s after the gateway's start, or comes back with another start time, began its slow start when it was seen; of what was there first the wall clock tells, and a start ahead of it is one of now; a host that was only out of the list is known again for 10 minutes.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -6,6 +6,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "decisions/host_starts.h"
 #include "decisions/repeat.h"
 #include "fading.h"
 #include "peer_message.h"
@@ -140,6 +141,7 @@
 
 struct Host {
     HostEntry entry;
+    Micros began{0};          // its slow start, on our clock; 0: long past
     int out = 0;              // own attempts out
     std::uint32_t place = 0;  // in this gateway's order
     double out_limit = limit_start;
@@ -173,7 +175,7 @@
 class Gateway::Impl {
   public:
     Impl(Settings settings, std::uint64_t seed, Micros now)
-        : s_(std::move(settings)), random_(seed), boot_(now) {
+        : s_(std::move(settings)), random_(seed), boot_(now), starts_(now) {
         silverreach::check(s_);
         next_nonce_ = static_cast<std::uint32_t>(random_()) | 1;
     }
@@ -534,8 +536,8 @@
     // ---- choice of a host -------------------------------------------------------------------------------
 
     double capacity_share(const Host& h) const {
-        if (h.entry.started <= 0us || s_.cold_time <= 0us) return 1;
-        const double age = seconds(now_ - h.entry.started) / seconds(s_.cold_time);
+        if (h.began <= 0us || s_.cold_time <= 0us) return 1;
+        const double age = seconds(now_ - h.began) / seconds(s_.cold_time);
         return age >= 1 ? 1 : s_.start_capacity + (1 - s_.start_capacity) * std::max(0.0, age);
     }
 
@@ -892,6 +894,7 @@
                 h.place = name_hash(entry.host + ' ' + std::to_string(s_.rank));
             }
             h.entry = entry;
+            h.began = starts_.began(entry, now_);
         }
         std::erase_if(hosts_, [](const auto& h) {
             return h.second.entry.state == HostState::gone && h.second.out == 0;
@@ -904,6 +907,7 @@
         order_.clear();
         warm_ = 0;
         for (auto& [name, h] : hosts_) {
+            starts_.still_listed(name, now_);
             order_.push_back(&h);
             warm_ += h.entry.state == HostState::up && capacity_share(h) >= 1;
         }
@@ -1021,6 +1025,7 @@
         renew();
         if (now_ - swept_at_ < sweep_period) return;
         swept_at_ = now_;
+        starts_.forget_old(now_);
         list_hosts();  // and ages out who is idle; a customer that still has requests in hand stays
         const auto old = [this](Micros at) { return now_ - at >= idle_after; };
         std::erase_if(peers_, [&](const auto& p) { return old(p.second.tokens_at); });
@@ -1032,6 +1037,7 @@
     Settings s_;
     std::mt19937_64 random_;
     Micros boot_, now_{0};
+    HostStarts starts_;
     Actions* actions_ = nullptr;
     Micros last_beat_{0}, stalled_at_{0}, swept_at_{0}, heard_since_{0};
     std::uint32_t next_nonce_ = 1;
--- a/tests/faults/slow_start_test.cpp
+++ b/tests/faults/slow_start_test.cpp
@@ -90,6 +90,7 @@
 TEST(SlowStart, ByATrueClock) { ramp(0s, 0ms); }
 TEST(SlowStart, ByAWallClockAnHourAhead) { ramp(1h, 0ms); }
 TEST(SlowStart, ByAWallClockAnHourBehind) { ramp(-1h, 0ms); }
+TEST(SlowStart, AStartTimeInTheFutureDoesNoHarm) { ramp(0s, 1h); }
 
 TEST(SlowStart, AStepWhileItRunsChangesNothingAndAChangedStartTimeIsAStart) {
     Stepped s(0s);
