Keys: a running gateway moves on by the monotonic clock, a step moves no end of a key

Cause: registry::Book judged by the wall clock of each look, and the registry keeps the latest moment it saw.

--- a/src/registry/book.cpp
+++ b/src/registry/book.cpp
@@ -17,7 +17,8 @@
 }  // namespace
 
 Book::Book(event::Loop& loop, const config::Config& config, std::string folder, Hooks hooks)
-    : config_(config),
+    : wall_at_zero_(wall_now() - std::chrono::duration_cast<accounts::Wall>(event::Loop::clock())),
+      config_(config),
       folder_(std::move(folder)),
       hooks_(std::move(hooks)),
       background_(loop),
@@ -27,6 +28,10 @@
     take(first);
 }
 
+accounts::Wall Book::now() const {
+    return wall_at_zero_ + std::chrono::duration_cast<accounts::Wall>(event::Loop::clock());
+}
+
 // Shares nothing with the loop's thread but what never changes.
 Book::Read Book::read() const {
     try {
@@ -67,7 +72,7 @@
 }
 
 config::AccountBook::Found Book::by_key(std::string_view key) {
-    const accounts::Served served = registry_->look_up(key, wall_now());
+    const accounts::Served served = registry_->look_up(key, now());
     switch (served.verdict) {
         case accounts::Verdict::served:
             break;
--- a/src/registry/book.h
+++ b/src/registry/book.h
@@ -28,9 +28,12 @@
         std::string why;
     };
     Read read() const;
+    // The wall clock as it stood when this began, moved on by the monotonic one: spans stay spans.
+    accounts::Wall now() const;
     void look();
     void take(Read& read);
 
+    const accounts::Wall wall_at_zero_;  // of the monotonic clock
     const config::Config& config_;
     std::string folder_;
     Hooks hooks_;
--- a/src/roster/endpoints.cpp
+++ b/src/roster/endpoints.cpp
@@ -142,7 +142,9 @@
         const Micros age =
             std::chrono::milliseconds(std::max<std::int64_t>(0, unix_ms_now - started_unix_ms));
         // A start before this clock's own beginning is long past, which 0 would say too; 1 keeps it a start.
+        const Micros before = placed;
         placed = std::max(now - age, Micros(1));
+        if (placed == before) placed += Micros(1);  // another start all the same
     }
     return placed;
 }
