--- a/tests/accounts/accounts_test.cpp
+++ b/tests/accounts/accounts_test.cpp
@@ -258,6 +258,25 @@
         return Disk::sync(fd);
     }
 };
+// Fails every call of a span, writes after their first half, and is killed at one.
+struct FailingDisk : Disk {
+    int calls = 0, fail_from = -1, fail_to = -1, kill_at = -1;
+    int error = EIO;
+    bool write(int fd, std::uint64_t at, std::string_view bytes) override {
+        if (!fails()) return Disk::write(fd, at, bytes);
+        Disk::write(fd, at, bytes.substr(0, bytes.size() / 2));
+        return errno = error, false;
+    }
+    bool sync(int fd) override { return fails() ? (errno = error, false) : Disk::sync(fd); }
+    bool truncate(int fd, std::uint64_t size) override {
+        return fails() ? (errno = error, false) : Disk::truncate(fd, size);
+    }
+    bool fails() {
+        const int call = calls++;
+        if (call == kill_at) throw Killed();
+        return call >= fail_from && call < fail_to;
+    }
+};
 struct Folder {
     std::string name = "/tmp/silverreach-registry-XXXXXX";
     Folder() { mkdtemp(name.data()); }
@@ -337,3 +356,33 @@
     Store reader(f.name, Store::Mode::read, false, disk);
     EXPECT_EQ(reader.registry().plans().size(), 1u);
 }
+
+TEST(Store, ADiskThatFailsForAWhileAndThenAKillKeepEveryWordThatWasGiven) {
+    constexpr int first_call = 6, last_call = 30;  // after the making of the folder
+    for (int fail_from = first_call; fail_from < last_call; ++fail_from)
+        for (int span = 1; span <= 4; ++span)
+            for (int kill_at = fail_from + 1; kill_at < fail_from + 8; ++kill_at) {
+                Folder f;
+                std::vector<std::string> acknowledged, not_made;
+                FailingDisk disk;
+                disk.fail_from = fail_from, disk.fail_to = fail_from + span, disk.kill_at = kill_at;
+                try {
+                    Store store(f.name, Store::Mode::write, true, disk);
+                    for (int i = 0; i < 4; ++i) {
+                        const std::string plan = "plan" + std::to_string(i);
+                        const std::string why = store.change(AddPlan{plan}, t0);
+                        if (why.empty()) acknowledged.push_back(plan);
+                        else if (why.find("was not made") != std::string::npos) not_made.push_back(plan);
+                    }
+                } catch (const Killed&) {
+                }
+                Disk well;
+                Store again(f.name, Store::Mode::write, true, well);
+                const std::string where = std::to_string(fail_from) + "+" + std::to_string(span) +
+                                          ", killed at " + std::to_string(kill_at);
+                for (const std::string& plan : acknowledged)
+                    EXPECT_TRUE(again.registry().plans().count(plan)) << where << ": lost " << plan;
+                for (const std::string& plan : not_made)
+                    EXPECT_FALSE(again.registry().plans().count(plan)) << where << ": made " << plan;
+            }
+}
