Registry: a change that could not be taken back is not said to be unmade

Cause: Store::change worded every failure of the log as not made. Change: where truncating or syncing fails as well it says that only the next opening tells, as for the mark.

--- a/src/registry/store.cpp
+++ b/src/registry/store.cpp
@@ -12,6 +12,8 @@
 
 namespace silverreach::registry {
 namespace {
+constexpr const char* unsure = "; whether the change was made shows when it is opened again";
+
 [[noreturn]] void fail(const std::string& what) {
     throw std::runtime_error(what + ": " + std::strerror(errno));
 }
@@ -119,18 +121,17 @@
     const accounts::Mark mark{last_.sequence + 1, size_ + record.size()};
     const auto refuse = [&](const char* what) {
         const std::string why = std::strerror(errno);
-        // What is beyond the mark was not acknowledged. Taken back here where that works, else at the next
-        // opening.
+        // What is beyond the mark was not acknowledged. Where it cannot be taken back, a record that is whole
+        // stands at the next opening.
         broken_ = !disk_.truncate(log_.get(), size_) || !disk_.sync(log_.get());
-        return folder_ + what + why + "; the change was not made";
+        return folder_ + what + why + (broken_ ? unsure : "; the change was not made");
     };
     if (!disk_.write(log_.get(), size_, record) || !disk_.sync(log_.get())) return refuse("/log: ");
     const std::uint64_t slot = mark.sequence % 2 * accounts::slot_size;
     if (!disk_.write(mark_.get(), slot, accounts::slot_of(mark)) || !disk_.sync(mark_.get())) {
         // The mark may be on the disk or not: only a fresh look tells.
         broken_ = true;
-        return folder_ + "/mark: " + std::strerror(errno) +
-               "; whether the change was made shows when it is opened again";
+        return folder_ + "/mark: " + std::strerror(errno) + unsure;
     }
     registry_->apply(change);
     size_ = mark.acknowledged, last_ = mark;
