--- a/tests/gateway/drain_test.cpp
+++ b/tests/gateway/drain_test.cpp
@@ -41,7 +41,10 @@
     bool done = false;
     g.instance->drain(3s, [&] { done = true; });
     EXPECT_TRUE(g.run([&] { return done; }));
-    for (const event::Fd& client : clients) EXPECT_EQ(answers(received(client)), 1);
+    for (const event::Fd& client : clients) {
+        const std::string got = received(client);
+        EXPECT_EQ(answers(got), 1) << got;
+    }
 }
 
 TEST(HttpDrain, RequestsBehindOneInHandAreAnsweredAndTheConnectionThenEnds) {
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -445,3 +445,10 @@
     EXPECT_EQ(a.stats().lost, 1u);
     EXPECT_EQ(a.stats().dropped, 1u);
 }
+
+TEST(Node, ManyCommandsAtOnceAreAllAnsweredAtOnce) {
+    TestNode n;
+    std::string pings, pongs;
+    for (int i = 0; i < 500; ++i) pings += "*1\r\n$4\r\nPING\r\n", pongs += "+PONG\r\n";
+    EXPECT_TRUE(n.talk(pings, pongs.size(), 1s) == pongs);
+}
