Commands behind 64 answers are taken at once; whole ones outlive others' floods; HTTP drains whole

Causes: after a flush that made room nothing looked at the commands that waited; the bound on bytes kept over all clients ended connections whose bytes were whole commands waiting for their turn; the HTTP gateway's drain ended with accepted connections unread, last bytes unsent. Change: take_commands goes on at the next turn where the flush made room; only a large unfinished command is ended for too much in hand, else reading stops; Front::owes of the HTTP front: queue, bytes that came, requests, last bytes; answers in a drain end their connections where nothing waits behind.

--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -139,8 +139,7 @@
     wait_for_drain(loop_.now() + most, std::move(done));
 }
 void Instance::wait_for_drain(Micros until, std::function<void()> done) {
-    const bool idle = front_->in_hand() == 0 && !front_->listening();
-    if (idle || loop_.now() >= until) return done();
+    if (!front_->owes() || loop_.now() >= until) return done();
     loop_.after(drain_look,
                 [this, until, done = std::move(done), alive = std::weak_ptr<bool>(alive_)]() mutable {
                     if (!alive.expired()) wait_for_drain(until, std::move(done));
--- a/src/fronts/http/connection.cpp
+++ b/src/fronts/http/connection.cpp
@@ -148,7 +148,7 @@
 void Front::Connection::answer_myself(const OwnAnswer& answer, std::string_view reason) {
     Request& r = *request_;
     // A body that was not read to its end would be taken for the next request.
-    if (!r.body_read) r.side.keep_alive = false;
+    if (!r.body_read || last_before_the_end()) r.side.keep_alive = false;
     r.side.date = front_.date();
     stream_.write(write_answer(answer, r.side, r.identity.request_id));
     note(answer.status, reason);
@@ -170,6 +170,7 @@
     r.pause = std::move(pause);
     r.host = host, r.status = head.status;
     r.side.date = front_.date();
+    if (last_before_the_end()) r.side.keep_alive = false;
     stream_.write(head_for_client(head, r.side, r.identity.request_id, front_.via_, r.framing));
     if (r.framing == Framing::until_close) r.side.keep_alive = false;
 }
@@ -274,6 +275,16 @@
     front_.bury(*this);
 }
 
+bool Front::Connection::last_before_the_end() const {
+    return front_.closing_ && pending_.empty() && !stream_.unread();
+}
+bool Front::Connection::owes() const {
+    if (state_ == State::gone) return false;
+    if (state_ == State::lingering) return stream_.queued() > 0;
+    const bool begun = state_ != State::reading || in_body_ || !parser_.idle() || !pending_.empty();
+    return begun || stream_.queued() > 0 || stream_.unread();
+}
+
 // ---- time ------------------------------------------------------------------------------------------------
 
 // One look now and then rather than a timer for each wait: ten thousand idle clients cost nothing in between.
--- a/src/fronts/http/connection.h
+++ b/src/fronts/http/connection.h
@@ -18,6 +18,7 @@
     void answer_body(std::string_view bytes);
     void answer_ended(bool whole, const wire::Fields& trailers);
     std::shared_ptr<const upstream::OutRequest> out_request() const;
+    bool owes() const;  // an answer, its last bytes, or a look at what has come
 
     void on_data(std::string_view bytes) override;
     void on_end() override;
@@ -34,6 +35,7 @@
     void take();
     void advance();
     void answer_myself(const OwnAnswer& answer, std::string_view reason);
+    bool last_before_the_end() const;  // this instance ends, and nothing comes behind this request
     void message_over();
     void linger();
     void go();
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -2,6 +2,8 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 #include "fronts/http/connection.h"
 
 namespace silverreach::fronts::http {
@@ -27,7 +29,14 @@
 Front::~Front() { alive_.reset(); }
 
 int Front::port() const { return listener_->port(); }
-void Front::stop_listening() { listener_->stop(); }
+void Front::stop_listening() {
+    closing_ = true;
+    listener_->stop();
+}
+bool Front::owes() const {
+    return listener_->listening() || std::any_of(connections_.begin(), connections_.end(),
+                                                 [](const auto& c) { return c.first->owes(); });
+}
 std::size_t Front::connections() const { return connections_.size(); }
 
 void Front::accept(event::Fd fd, std::string client) {
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -40,7 +40,8 @@
 
     int port() const;
     bool listening() const { return listener_->listening(); }
-    void stop_listening();
+    void stop_listening();  // from now on connections end with the answers they are owed
+    bool owes() const;      // an answer, or its last bytes, to any client; or has not read what came
     std::size_t connections() const;
     std::size_t in_hand() const { return by_id_.size(); }
 
@@ -74,6 +75,7 @@
     std::unordered_map<RequestId, Connection*> by_id_;
     std::string date_;
     std::time_t date_of_ = 0;
+    bool closing_ = false;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
     std::unique_ptr<event::Listener> listener_;
 };
--- a/src/fronts/resp/connection.cpp
+++ b/src/fronts/resp/connection.cpp
@@ -14,6 +14,7 @@
 constexpr Micros arrivals_together = 10ms;
 constexpr std::size_t places_most = 64, commands_a_turn = 64;
 constexpr std::size_t queued_most = 256 * 1024;  // bytes that a client has not read
+constexpr std::size_t small_command = 4096;      // always kept
 constexpr std::size_t ahead_most = 32 * 1024;    // of commands read before there is room for them
 constexpr Micros linger_most = 300ms;  // for the client to end as well, once nothing is sent any more
 constexpr std::size_t linger_bytes = 256 * 1024;  // of it that are read and dropped
@@ -77,9 +78,12 @@
     std::size_t taken = 0;
     const std::size_t before = in_.size();
     std::string_view rest = in_;
-    bool more_later = false;
+    bool more_later = false, stopped = false;
     for (std::size_t n = 0; !gone_ && !ending_ && !rest.empty(); ++n) {
-        if (places_.size() >= places_most || stream_.queued() >= queued_most || held_) break;
+        if (waits_for_turn()) {
+            stopped = true;
+            break;
+        }
         if (n == commands_a_turn) {
             more_later = true;
             break;
@@ -111,7 +115,12 @@
     else if (taken > 0 || partial_since_ == 0us) partial_since_ = front_.loop_.now();
     flush();
     if (gone_) return;
-    if (front_.kept_bytes_ > front_.limits_.kept_bytes && in_.size() > 4096) return fault("too much in hand");
+    // What stopped it may have gone out with the flush, and nothing else would come back to what waits.
+    if (stopped && !waits_for_turn()) more_later = true;
+    // One large command; whole ones that wait for their turn are kept, and no more is read.
+    const bool unfinished = !more_later && !waits_for_turn();
+    if (unfinished && front_.kept_bytes_ > front_.limits_.kept_bytes && in_.size() > small_command)
+        return fault("too much in hand");
     hold();
     if (more_later)
         front_.loop_.after(0us, [this, alive = std::weak_ptr<bool>(alive_)] {
@@ -119,10 +128,14 @@
         });
 }
 
+bool Front::Connection::waits_for_turn() const {
+    return held_ || places_.size() >= places_most || stream_.queued() >= queued_most;
+}
+
 // Reads on only while there is room for what it brings. Somewhat ahead of that, so that the client's end is
 // seen behind commands that wait for their turn; not where all connections together keep too much.
 void Front::Connection::hold() {
-    const bool waits = held_ || places_.size() >= places_most || stream_.queued() >= queued_most;
+    const bool waits = waits_for_turn();
     const bool tight = front_.kept_bytes_ > front_.limits_.kept_bytes;
     stream_.read(in_.size() <= (!waits ? wire::Limits{}.total : tight ? 0 : ahead_most));
 }
--- a/src/fronts/resp/connection.h
+++ b/src/fronts/resp/connection.h
@@ -55,6 +55,7 @@
     void say(std::string bytes);  // in its turn
     void flush();
     void fault(std::string_view why);  // one line, then the end
+    bool waits_for_turn() const;       // commands, for room for their answers
     void hold();
     bool over() const;  // nothing in hand, and it is to end
     void keep(std::size_t bytes);
