--- a/tests/gateway/http_test.cpp
+++ b/tests/gateway/http_test.cpp
@@ -258,3 +258,17 @@
     EXPECT_TRUE(has(answer, "urn:silverreach:reason:quota"));
     EXPECT_TRUE(has(answer, "Retry-After: "));
 }
+
+TEST(Pipelined, ARequestBehindASlowOneKeepsOnlyWhatItsClientHasLeft) {
+    TestGateway g;
+    g.hosts[0]->respond = [&](ScriptedHost::Peer& p, const std::string&) {
+        g.loop.after(400ms, [&p] { p.stream.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); });
+    };
+    auto c = g.connect();
+    const std::string one = "GET /mine HTTP/1.1\r\nHost: h\r\nX-Key: k1\r\n";
+    c->stream.write(one + "\r\n" + one + "X-Deadline-Ms: 300\r\n\r\n");
+    g.run([&] { return c->got.find("HTTP/1.1 504") != std::string::npos; }, 1500ms);
+    EXPECT_EQ(g.requests(), 1u) << "the second one's time was over when its turn came";
+    EXPECT_TRUE(has(c->got, "HTTP/1.1 200")) << c->got;
+    EXPECT_TRUE(has(c->got, "HTTP/1.1 504")) << c->got;
+}
