HTTP: a pipelined request's time runs from when its bytes came; one log of arrivals for both fronts

Cause: the HTTP front dated a request by when the parser came to it, the same class as the commands behind a queue. Change: event/arrival_log, taken out of the RESP front and used by both; an accepted HTTP connection also counts its wait in the queue.

--- a/src/fronts/http/connection.cpp
+++ b/src/fronts/http/connection.cpp
@@ -17,9 +17,9 @@
 }
 }  // namespace
 
-Front::Connection::Connection(Front& front, event::Fd fd, std::string client)
+Front::Connection::Connection(Front& front, event::Fd fd, std::string client, Micros waiting_since)
     : front_(front),
-      stream_(front.loop_, std::move(fd), *this),
+      stream_(front.loop_, std::move(fd), *this, waiting_since),
       parser_(wire::Parser::Kind::request, *this, limits_of(front.config_.listen())),
       client_(std::move(client)),
       since_(front.loop_.now()) {
@@ -30,25 +30,32 @@
 
 void Front::Connection::on_data(std::string_view bytes) {
     if (state_ == State::lingering || state_ == State::gone) return;
+    arrivals_.add(bytes.size(), stream_.arrived());
     if (state_ != State::reading || !pending_.empty()) {
         pending_.append(bytes);
         if (pending_.size() > most_pending) stream_.read(false);
         if (state_ == State::reading) advance();
         return;
     }
-    if (parser_.idle()) since_ = front_.loop_.now();
-    const std::size_t taken = parser_.feed(bytes);
+    const std::size_t taken = feed(bytes);
     // What one request leaves over belongs to the next.
     if (state_ != State::lingering && state_ != State::gone && taken < bytes.size())
         pending_.append(bytes.substr(taken));
     if (whole_) take();
 }
 
+// A request's time runs from when its first byte came, also where it waited for its turn.
+std::size_t Front::Connection::feed(std::string_view bytes) {
+    if (parser_.idle()) since_ = arrivals_.of(1, front_.loop_.now());
+    const std::size_t taken = parser_.feed(bytes);
+    arrivals_.take(taken);
+    return taken;
+}
+
 void Front::Connection::advance() {
     while (state_ == State::reading && !pending_.empty()) {
-        if (parser_.idle()) since_ = front_.loop_.now();
         const std::string bytes = std::exchange(pending_, {});
-        const std::size_t taken = parser_.feed(bytes);
+        const std::size_t taken = feed(bytes);
         if (state_ == State::lingering || state_ == State::gone) return;
         pending_.assign(bytes, taken);
         if (whole_) take();
--- a/src/fronts/http/connection.h
+++ b/src/fronts/http/connection.h
@@ -4,13 +4,14 @@
 // gone
 #pragma once
 
+#include "event/arrival_log.h"
 #include "fronts/http/front.h"
 
 namespace silverreach::fronts::http {
 
 class Front::Connection : public event::StreamOwner, public wire::Parser::Events {
   public:
-    Connection(Front& front, event::Fd fd, std::string client);
+    Connection(Front& front, event::Fd fd, std::string client, Micros waiting_since);
 
     void finish(const core::Final& answer);
     void cut();
@@ -34,6 +35,7 @@
     enum class State { reading, in_hand, answering, lingering, gone };
     void take();
     void advance();
+    std::size_t feed(std::string_view bytes);
     void answer_myself(const OwnAnswer& answer, std::string_view reason);
     bool last_before_the_end() const;  // this instance ends, and nothing comes behind this request
     void message_over();
@@ -48,9 +50,10 @@
     wire::Parser parser_;
     std::string client_;
     State state_ = State::reading;
-    std::string pending_;  // bytes of later requests
-    Micros since_{0};      // the present wait began
-    Micros progress_{0};   // the client last took something
+    std::string pending_;         // bytes of later requests
+    event::ArrivalLog arrivals_;  // of what the parser has not taken
+    Micros since_{0};             // the present wait began
+    Micros progress_{0};          // the client last took something
     bool in_body_ = false, half_closed_ = false, whole_ = false;
 
     // of the request in hand; on the heap, so that an idle connection stays small
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -40,7 +40,8 @@
 std::size_t Front::connections() const { return connections_.size(); }
 
 void Front::accept(event::Fd fd, std::string client) {
-    auto connection = std::make_unique<Connection>(*this, std::move(fd), std::move(client));
+    auto connection =
+        std::make_unique<Connection>(*this, std::move(fd), std::move(client), listener_->waiting_since());
     Connection* key = connection.get();
     connections_.emplace(key, std::move(connection));
 }
--- a/src/fronts/resp/connection.cpp
+++ b/src/fronts/resp/connection.cpp
@@ -11,7 +11,6 @@
 constexpr Micros idle_most = 8s;                            // between requests
 constexpr Micros unread_most = 5s;                          // answers that the client does not take
 constexpr Micros answer_margin = 5ms;  // of the client's time, for the way back and this loop's turn
-constexpr Micros arrivals_together = 10ms;
 constexpr std::size_t places_most = 64, commands_a_turn = 64;
 constexpr std::size_t queued_most = 256 * 1024;  // bytes that a client has not read
 constexpr std::size_t small_command = 4096;      // always kept
@@ -29,18 +28,6 @@
       opened_(front.loop_.now()),
       since_(opened_) {}
 
-// Bytes that came within a moment share one entry, with the earlier time.
-void Front::Connection::note_arrival(std::size_t bytes) {
-    received_ += bytes;
-    const Micros at = stream_.arrived();
-    if (!arrivals_.empty() && at - arrivals_.back().at < arrivals_together) arrivals_.back().upto = received_;
-    else arrivals_.push_back({received_, at});
-}
-Micros Front::Connection::arrival_of(std::uint64_t byte) {
-    while (arrivals_.size() > 1 && arrivals_.front().upto < byte) arrivals_.pop_front();
-    return arrivals_.empty() ? front_.loop_.now() : arrivals_.front().at;
-}
-
 void Front::Connection::keep(std::size_t before) {
     front_.kept_bytes_ = front_.kept_bytes_ - before + in_.size();
 }
@@ -61,7 +48,7 @@
     const std::size_t before = in_.size();
     in_.append(bytes);
     keep(before);
-    note_arrival(bytes.size());
+    arrivals_.add(bytes.size(), stream_.arrived());
     take_commands();
 }
 
@@ -99,16 +86,17 @@
         std::vector<std::string_view> words;
         for (std::size_t i = 0; i < reader_.words(); ++i) words.push_back(reader_.word(rest, i));
         taken += reader_.size();
-        request(words, front_.loop_.now() - arrival_of(consumed_ + taken));
+        const Micros now = front_.loop_.now();
+        request(words, now - arrivals_.of(taken, now));
         rest = std::string_view(in_).substr(taken);
         reader_.next();
     }
     working_ = false;
     if (gone_) return;
     in_.erase(0, taken);
-    consumed_ += taken;
+    arrivals_.take(taken);
     if (ending_) in_.clear();
-    if (in_.empty()) arrivals_.clear();
+    if (in_.empty()) arrivals_.take_all();
     if (in_.empty() && in_.capacity() > 4096) in_.shrink_to_fit();
     keep(before);
     if (in_.empty()) partial_since_ = 0us;
--- a/src/fronts/resp/connection.h
+++ b/src/fronts/resp/connection.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 
+#include "event/arrival_log.h"
 #include "fronts/resp/front.h"
 #include "resp/command.h"
 
@@ -42,14 +43,8 @@
         RequestId request = 0;  // that it waits for; 0: its answer is here
         std::string bytes;
     };
-    struct Arrival {  // of bytes: all up to this count of the connection's bytes
-        std::uint64_t upto = 0;
-        Micros at{0};
-    };
     void work();
     void take_commands();
-    void note_arrival(std::size_t bytes);
-    Micros arrival_of(std::uint64_t byte);  // of a later byte with each call
     void request(const std::vector<std::string_view>& words, Micros waited);
     void nonsense(std::string_view why);
     void say(std::string bytes);  // in its turn
@@ -66,9 +61,8 @@
     Front& front_;
     event::Stream stream_;
     silverreach::resp::CommandReader reader_;
-    std::string in_;                             // what has not become a command yet
-    std::deque<Arrival> arrivals_;               // of what is in in_
-    std::uint64_t received_ = 0, consumed_ = 0;  // bytes, of the connection's life
+    std::string in_;              // what has not become a command yet
+    event::ArrivalLog arrivals_;  // of what is in in_
     std::deque<Place> places_;
     std::uint64_t first_place_ = 0, commands_ = 0;
     int nonsense_in_a_row_ = 0;
