--- a/tests/faults/host_test.cpp
+++ b/tests/faults/host_test.cpp
@@ -63,3 +63,49 @@
         EXPECT_TRUE(n.runs()) << n.process->log();
     }
 }
+
+TEST(BrokenConnection, ErrorsThatTellOfItEndItAndTheRequestIsAnswered) {
+    for (const int error : {ECONNRESET, ETIMEDOUT, EHOSTUNREACH, ENETDOWN}) {
+        FaultNode n(2);
+        Accepting::Peer* first = nullptr;
+        for (auto& h : n.hosts)
+            h->respond = [&](Accepting::Peer& p, const Words& w) {
+                if (!std::exchange(first, &p)) return;
+                p.stream.write(served("for " + w[2]));
+            };
+        ASSERT_TRUE(n.start());
+        auto c = n.connect();
+        c->stream.write(query(1));
+        ASSERT_TRUE(n.run([&] { return first != nullptr; }));
+        // The host's answer cannot be read: the attempt may have run, and the class may be repeated.
+        n.process->faults.fail(faults::recv_call, error, 1, 5s);
+        first->stream.write(served("unread"));
+        EXPECT_TRUE(n.run([&] { return c->got == bulk("for " + hex(1)); }, 2s)) << error << ": " << c->got;
+        EXPECT_EQ(n.process->faults.hit(faults::recv_call), 1);
+    }
+}
+
+TEST(BrokenConnection, AConnectThatFailsAtItsHostGoesToAnother) {
+    for (const int error : {ECONNREFUSED, ETIMEDOUT, EHOSTUNREACH, ECONNRESET}) {
+        FaultNode n(2);
+        ASSERT_TRUE(n.start());
+        ASSERT_TRUE(n.run([&] { return !n.discovery->asked.empty(); }));
+        n.process->faults.fail(faults::connect_result, error, 1, 5s);
+        EXPECT_TRUE(n.serves(1)) << error;
+        EXPECT_EQ(n.process->faults.hit(faults::connect_result), 1);
+    }
+}
+
+TEST(BrokenConnection, AWriteToAClientThatFailsEndsThatClientAlone) {
+    for (const int error : {EPIPE, ECONNRESET}) {
+        FaultNode n;
+        ASSERT_TRUE(n.start());
+        auto c = n.connect();
+        c->stream.write("*1\r\n$4\r\nPING\r\n");
+        ASSERT_TRUE(n.run([&] { return c->got.size() == 7; }));
+        n.process->faults.fail(faults::send_call, error, 2, 5s);
+        c->stream.write("*1\r\n$4\r\nPING\r\n");
+        EXPECT_TRUE(n.run([&] { return c->over(); }, 1s)) << error;
+        EXPECT_TRUE(n.serves(1));
+    }
+}
--- a/tests/faults/rig.h
+++ b/tests/faults/rig.h
@@ -60,7 +60,9 @@
             else pass(20ms);
         return false;
     }
-    std::unique_ptr<Client> connect() { return std::make_unique<Client>(loop, process->port()); }
+    std::unique_ptr<Client> connect() {
+        return std::make_unique<Client>(loop, process->port(), test_support::own_address());
+    }
     std::string talk(const std::string& bytes, std::size_t size, std::chrono::milliseconds most = 3s) {
         auto c = connect();
         c->stream.write(bytes);
--- a/tests/faults/start_test.cpp
+++ b/tests/faults/start_test.cpp
@@ -5,8 +5,10 @@
 
 namespace {
 std::string with_peers(std::string config) {
-    const std::string own = "127.0.0.1:" + std::to_string(test_support::free_port());
-    const auto other = [] { return "\"127.0.0.1:" + std::to_string(test_support::free_port()) + "\""; };
+    const std::string own = test_support::own_address() + ":" + std::to_string(test_support::free_port());
+    const auto other = [] {
+        return "\"" + test_support::own_address() + ":" + std::to_string(test_support::free_port()) + "\"";
+    };
     config = replaced(std::move(config), "\"peers\":false", "\"peers\":true");
     return replaced(std::move(config), "\"seed\":",
                     "\"peer_listen\":\"" + own + "\",\"peers\":[\"" + own + "\"," + other() + "," + other() +
@@ -64,3 +66,13 @@
         EXPECT_TRUE(n.run([&] { return !other.asked.empty(); }, 3s)) << n.process->log();
     }
 }
+
+TEST(Start, SigtermWhileItIsTriedAgainEndsItInOrder) {
+    FaultNode n;
+    n.process->faults.fail(faults::bind_call, EADDRINUSE, faults::unlimited, 60s);
+    n.process->start();
+    ASSERT_TRUE(n.run([&] { return n.process->faults.hit(faults::bind_call) > 2; }, 3s));
+    n.process->signal(SIGTERM);
+    EXPECT_TRUE(n.run([&] { return n.process->ended().has_value(); }, 1s));
+    EXPECT_EQ(n.process->wait_for_end(), 0);
+}
--- a/tests/soak/ledger.cpp
+++ b/tests/soak/ledger.cpp
@@ -52,11 +52,13 @@
 void Ledger::excused(std::uint64_t id) {
     if (const auto it = requests_.find(id); it != requests_.end()) it->second.excused = true;
 }
-void Ledger::dropped(Micros at, std::uint64_t id) {
+void Ledger::dropped(Micros at, std::uint64_t id, const std::string& gateway) {
     const auto it = requests_.find(id);
     if (it == requests_.end() || it->second.excused || it->second.answered) return;
     it->second.excused = true;
-    violation(at, Breach::lost, named(id) + "its connection was ended without an answer");
+    violation(at, Breach::lost,
+              named(id) + "its connection was ended by " + gateway + " without an answer, " +
+                  milliseconds(at - it->second.sent) + " after it was sent");
 }
 
 void Ledger::attempt(Micros at, std::uint64_t id, const std::string& host, int cell, std::int64_t told_ms) {
--- a/tests/soak/ledger.h
+++ b/tests/soak/ledger.h
@@ -64,7 +64,7 @@
     void client_closed(Micros at, std::uint64_t id);  // by the client itself
     void excused(std::uint64_t id);  // it may go unanswered: its gateway was killed, or never read it
     // The gateway ended the connection with this request open.
-    void dropped(Micros at, std::uint64_t id);
+    void dropped(Micros at, std::uint64_t id, const std::string& gateway);
     void attempt(Micros at, std::uint64_t id, const std::string& host, int cell, std::int64_t told_ms);
     void attempt_over(std::uint64_t id, const std::string& host, bool ran);
     void told_drained(Micros at, const std::string& gateway, const std::string& host);
--- a/tests/soak/ledger_test.cpp
+++ b/tests/soak/ledger_test.cpp
@@ -42,7 +42,7 @@
     l.answered(100ms, 2, true, "for 1", 0ms);
     l.sent(0ms, 3, Effect::safe, 1000ms, false);
     l.sent(0ms, 4, Effect::safe, 1000ms, false);
-    l.dropped(100ms, 4);
+    l.dropped(100ms, 4, "n1");
     l.finish(3s);
     EXPECT_EQ(breaches(l), (Breaches{Breach::late, Breach::second_word, Breach::late, Breach::foreign,
                                      Breach::lost, Breach::lost}));
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -1,5 +1,7 @@
 // silverreach_soak [seed [seconds [gateways [hosts]]]]: real gateway processes on loopback under overlapping
 // troubles, judged by the promises. Prints the troubles and every breach; exit code 1 where there is one.
+// SOAK_LOGS names a folder that gets the gateways' logs where there was a breach; with SILVERREACH_LOG=debug
+// they tell of every request.
 #include <signal.h>
 
 #include <cstdio>
@@ -30,6 +32,8 @@
         loop.after(span + 4s, [&] { loop.stop(); });
         loop.run();
         ledger.finish(silverreach::event::Loop::clock());
+        const char* logs = std::getenv("SOAK_LOGS");
+        if (logs && !ledger.violations().empty()) world.keep_logs(logs);
     }
     for (const soak::Violation& v : ledger.violations())
         std::printf("BREACH %7.3f %s: %s\n", time(v.at), soak::text_of(v.breach).c_str(), v.what.c_str());
--- a/tests/soak/world.cpp
+++ b/tests/soak/world.cpp
@@ -273,7 +273,8 @@
         again(std::chrono::milliseconds(20 + world_.below(200)));
         if (!stream_ || stream_->closed()) return connect();
         if (open_.size() > 20) return;
-        const int burst = world_.uniform() < 0.03 ? 100 : world_.uniform() < 0.2 ? 5 : 1;
+        const double which = world_.uniform();
+        const int burst = which < 0.005 ? 400 : which < 0.03 ? 100 : which < 0.2 ? 5 : 1;
         std::string bytes;
         for (int i = 0; i < burst; ++i) bytes += request();
         stream_->write(bytes);
@@ -286,7 +287,8 @@
             gateway_ = (gateway_ + 1) % world_.size.gateways;
         if (!world_.gateways[index()].ready) return;
         int error = 0;
-        event::Fd fd = event::connect_to("127.0.0.1", world_.gateways[index()].process->port(), false, error);
+        event::Fd fd = event::connect_to(test_support::own_address(),
+                                         world_.gateways[index()].process->port(), false, error);
         if (!fd) return;
         got_.clear();
         reader_ = resp::ReplyReader();
@@ -341,7 +343,7 @@
             else if (killed && open.written > gateway.terminated + 700ms) world_.ledger.excused(open.id);
             else if (!was_read && now - open.written < crossing && !open.bytes.empty())
                 once_more.push_back({open.id, open.written, std::move(open.bytes)});
-            else world_.ledger.dropped(now, open.id);
+            else world_.ledger.dropped(now, open.id, gateway.name);
         }
         open_ = std::move(once_more);
         if (!open_.empty())
@@ -394,6 +396,11 @@
 World::~World() = default;
 void World::stop_clients() { clients_stopped_ = true; }
 
+void World::keep_logs(const std::string& folder) const {
+    for (const Gateway& gateway : gateways)
+        std::ofstream(folder + "/" + gateway.name) << gateway.process->log();
+}
+
 std::string World::targets(int gateway) const {
     std::string out;
     for (std::size_t h = 0; h < hosts.size(); ++h) {
@@ -412,15 +419,15 @@
     const Gateway& gateway = gateways[static_cast<std::size_t>(g)];
     std::string peers;
     for (const Gateway& other : gateways)
-        peers += std::string(peers.empty() ? "" : ",") +
-                 "\"127.0.0.1:" + std::to_string(other.process->port()) + "\"";
+        peers += std::string(peers.empty() ? "" : ",") + "\"" + test_support::own_address() + ":" +
+                 std::to_string(other.process->port()) + "\"";
     const Directory& directory = gateway.moved ? *gateway.other : *gateway.directory;
     return R"({"name":")" + gateway.name + R"(","listen":"127.0.0.1:0","discovery":"127.0.0.1:)" +
            std::to_string(directory.port()) + R"(","seed":"8c1f30d27a5be9)" +
            hex(static_cast<std::uint64_t>(gateway.starts * 100 + g)).substr(14) +
-           R"(","limits":{"cores":1.0,"memory_mb":64,"sockets":512},"peer_listen":"127.0.0.1:)" +
-           std::to_string(gateway.process->port()) + R"(","peers":[)" + peers +
-           R"(],"known":{"rev":1,"all":true,"targets":[)" + targets(g) + R"(]},"settings":{"rank":)" +
+           R"(","limits":{"cores":1.0,"memory_mb":64,"sockets":512},"peer_listen":")" +
+           test_support::own_address() + ":" + std::to_string(gateway.process->port()) + R"(","peers":[)" +
+           peers + R"(],"known":{"rev":1,"all":true,"targets":[)" + targets(g) + R"(]},"settings":{"rank":)" +
            std::to_string(g) + R"(,"instances":)" + std::to_string(size.gateways) +
            R"(,"locality":"a","tickUs":2000,
 "requestClasses":[{"name":"lookup","effect":"retryable","deadlineUs":2000000,"promiseUs":900000,"value":3},
@@ -466,7 +473,8 @@
         if (gateway.ready || gateway.expected_down) continue;
         const event::Fd look(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
         sockaddr_in at{};
-        at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        at.sin_family = AF_INET;
+        ::inet_pton(AF_INET, test_support::own_address().c_str(), &at.sin_addr);
         at.sin_port = htons(static_cast<std::uint16_t>(gateway.process->port()));
         if (::connect(look.get(), reinterpret_cast<sockaddr*>(&at), sizeof at) == 0) gateway.ready = true;
         else if (now() - gateway.started > ready_most) {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -105,6 +105,7 @@
 
     void start_gateway(int gateway);
     void stop_clients();
+    void keep_logs(const std::string& folder) const;  // of every gateway, by its name
     std::string config(int gateway) const;
     std::string targets(int gateway) const;
     void list_changed();  // tells every directory
--- a/tests/support/loop.h
+++ b/tests/support/loop.h
@@ -34,10 +34,11 @@
     event::Stream stream;
     std::string got;
     bool ended = false, broken = false;
-    Client(event::Loop& l, int port) : loop(l), stream(l, open(port), *this, true) {}
-    static event::Fd open(int port) {
+    Client(event::Loop& l, int port, const std::string& ip = "127.0.0.1")
+        : loop(l), stream(l, open(ip, port), *this, true) {}
+    static event::Fd open(const std::string& ip, int port) {
         int error = 0;
-        return event::connect_to("127.0.0.1", port, false, error);
+        return event::connect_to(ip, port, false, error);
     }
     void on_data(std::string_view b) override { got.append(b); }
     void on_end() override { ended = true; }
--- a/tests/support/node_process.h
+++ b/tests/support/node_process.h
@@ -20,11 +20,18 @@
 namespace test_support {
 using namespace silverreach;
 
-// A port that nobody listens on now.
+// A loopback address of this test process alone: ports chosen here meet those of no other.
+inline const std::string& own_address() {
+    static const std::string address = "127." + std::to_string(1 + ::getpid() / 250 % 250) + "." +
+                                       std::to_string(1 + ::getpid() % 250) + ".1";
+    return address;
+}
+// A port of it that nobody listens on now.
 inline int free_port() {
     const event::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     sockaddr_in at{};
-    at.sin_family = AF_INET, at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    at.sin_family = AF_INET;
+    ::inet_pton(AF_INET, own_address().c_str(), &at.sin_addr);
     socklen_t size = sizeof at;
     if (::bind(fd.get(), reinterpret_cast<sockaddr*>(&at), size) != 0) return 0;
     ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&at), &size);
@@ -39,7 +46,8 @@
 
 class NodeProcess {
   public:
-    // `config` as the platform words it, listening on 127.0.0.1:0, which is replaced by a free port.
+    // `config` as the platform words it, listening on 127.0.0.1:0, which is replaced by a free port of
+    // own_address().
     explicit NodeProcess(const std::string& config, int port = free_port()) : port_(port) {
         std::string folder = "/tmp/silverreach-node-XXXXXX";
         if (!::mkdtemp(folder.data())) throw std::runtime_error(folder + ": cannot be made");
@@ -55,7 +63,7 @@
     NodeProcess& operator=(const NodeProcess&) = delete;
 
     void configure(const std::string& config) {
-        write_file(replaced(config, "127.0.0.1:0", "127.0.0.1:" + std::to_string(port_)));
+        write_file(replaced(config, "127.0.0.1:0", own_address() + ":" + std::to_string(port_)));
     }
     void write_file(const std::string& text) { std::ofstream(config_file(), std::ios::trunc) << text; }
     std::string config_file() const { return folder_ + "/config.json"; }
@@ -70,7 +78,8 @@
         ::setenv(faults::table_variable, faults.file().c_str(), 1);
         ::setenv("LD_PRELOAD", SILVERREACH_FAULT_LIBRARY, 1);
         ::setenv("ASAN_OPTIONS", "verify_asan_link_order=0", 1);
-        ::execl(SILVERREACH_PROGRAM, "silverreach", "node", nullptr);
+        const char* other = ::getenv("SILVERREACH_TESTED");  // another build of the program
+        ::execl(other ? other : SILVERREACH_PROGRAM, "silverreach", "node", nullptr);
         ::_exit(127);
     }
     void signal(int number) const {
