--- a/tests/faults/deadline_test.cpp
+++ b/tests/faults/deadline_test.cpp
@@ -90,3 +90,31 @@
     n.run([&] { return !c->got.empty(); }, 500ms);
     EXPECT_EQ(c->got.substr(0, 1), "-");
 }
+
+TEST(Deadline, WhatCameWhileTheProcessWasHeldUpKeepsOnlyWhatIsLeft) {
+    for (const bool new_connection : {false, true}) {
+        FaultNode n(1, patient);
+        std::vector<Begun> begun;
+        Micros written{0};
+        n.hosts[0]->respond = [&](Accepting::Peer& p, const Words& w) {
+            begun.push_back({event::Loop::clock() - written, std::chrono::milliseconds(figure(w, "d"))});
+            p.stream.write(served("for " + w[2]));
+        };
+        ASSERT_TRUE(n.start());
+        auto c = n.connect();
+        c->stream.write("*1\r\n$4\r\nPING\r\n");
+        ASSERT_TRUE(n.run([&] { return c->got.size() == 7; }));
+        n.process->signal(SIGSTOP);
+        n.pass(20ms);
+        if (new_connection) c = n.connect();
+        written = event::Loop::clock();
+        c->stream.write(query(1, "c=lookup,t=team,d=1500,units=1,spread=1,first=0"));
+        n.pass(900ms);
+        n.process->signal(SIGCONT);
+        EXPECT_TRUE(n.run([&] { return !begun.empty(); }, 1s));
+        for (const Begun& b : begun) {
+            EXPECT_LE((b.told + b.after).count(), Micros(1500ms + slack).count()) << new_connection;
+            EXPECT_GT(b.told.count(), Micros(200ms).count()) << "not all of it is lost";
+        }
+    }
+}
