--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -67,11 +67,14 @@
 void Loop::after_wait() {
     const Micros last_wait_ended = std::exchange(wait_ended_, clock());
     now_ = wait_ended_;
+    const bool at_once = wait_ended_ - wait_began_ < no_wait;
+    const bool late = armed_ != Micros(0) && wait_ended_ > std::max(armed_, wait_began_) + held_up;
+    if (late) ready_since_ = wait_began_;
+    // A stop ends the wait as a signal does, without a look: the next one finds what came meanwhile.
+    else if (at_once && !was_late_) ready_since_ = last_wait_ended;
+    else if (!at_once) ready_since_ = wait_ended_;
+    was_late_ = late;
     if (each_turn_) each_turn_();
-    if (wait_ended_ - wait_began_ < no_wait) ready_since_ = last_wait_ended;
-    else if (armed_ != Micros(0) && wait_ended_ > std::max(armed_, wait_began_) + held_up)
-        ready_since_ = wait_began_;
-    else ready_since_ = wait_ended_;
 }
 
 void Loop::after(Micros wait, std::function<void()> call) {
--- a/src/event/loop.h
+++ b/src/event/loop.h
@@ -60,6 +60,7 @@
     Micros armed_{0};
     mutable Micros now_{0};
     Micros wait_began_{0}, wait_ended_{0}, ready_since_{0};
+    bool was_late_ = false;  // the latest wait: the process did not run
     std::uint64_t turn_ = 0;
     std::function<void()> each_turn_;
 };
