--- a/tests/cli/commands.sh
+++ b/tests/cli/commands.sh
@@ -48,6 +48,21 @@
 kill -TERM "$server"
 wait "$server" || { echo "SIGTERM: exit $?"; failed=1; }
 grep -q description_changed "$work/log" || { echo "SIGHUP read nothing: $(cat "$work/log")"; failed=1; }
+# The former instance still holds the address: the next one comes up once it is gone.
+"$program" serve --config "$work/good" >"$work/first" 2>/dev/null &
+first=$!
+for _ in $(seq 100); do grep -q "listening on port" "$work/first" && break || sleep 0.05; done
+port=$(grep -o '[0-9]*$' "$work/first")
+sed "s/127.0.0.1:0/127.0.0.1:$port/" "$work/good" >"$work/same"
+"$program" serve --config "$work/same" >"$work/second" 2>"$work/delayed" &
+second=$!
+for _ in $(seq 60); do grep -q start_delayed "$work/delayed" && break || sleep 0.05; done
+kill -TERM "$first"
+wait "$first"
+for _ in $(seq 100); do grep -q "listening on port $port" "$work/second" && break || sleep 0.05; done
+grep -q start_delayed "$work/delayed" && grep -q "listening on port $port" "$work/second" ||
+    { echo "a start that waits for its address: $(cat "$work/second" "$work/delayed")"; failed=1; }
+kill -TERM "$second" && wait "$second" || { echo "second: exit $?"; failed=1; }
 NODE_CONFIG="" expect "node without a configuration" 2 "NODE_CONFIG" "$program" node
 NODE_CONFIG="$work/none" expect "node with a missing file" 3 "cannot be read" "$program" node
 echo '{' >"$work/node.json"
