serve: a start whose address is still held is tried again for 8 s, as the node's is

Cause: only the node's start was tried again. Change: event::SystemRefused tells what the system may not refuse a moment later from what is wrong; serve and node try the first again.

--- a/src/cli/commands.cpp
+++ b/src/cli/commands.cpp
@@ -7,6 +7,9 @@
 #include <CLI/CLI.hpp>
 #include <iostream>
 #include <iterator>
+#include <memory>
+#include <thread>
+#include <utility>
 
 #include "cli/instance.h"
 #include "cli/keys.h"
@@ -53,6 +56,23 @@
     setrlimit(RLIMIT_NOFILE, &limit);
 }
 
+// An address that is still in use, or a table of files that is full, may not be a moment later.
+std::unique_ptr<Instance> start_instance(event::Loop& loop, const config::Config& config,
+                                         const std::string& folder, log::Log& log) {
+    const Micros until = event::Loop::clock() + start_most;
+    bool told = false;
+    while (true) {
+        try {
+            return std::make_unique<Instance>(loop, config, folder, log);
+        } catch (const event::SystemRefused& error) {
+            if (event::Loop::clock() >= until) throw;
+            if (!std::exchange(told, true))
+                log.write(log::Level::warning, "start_delayed", {{"why", std::string(error.what())}});
+        }
+        std::this_thread::sleep_for(start_again);
+    }
+}
+
 int serve(const std::string& path) {
     Loaded loaded = load_config(path);
     if (!loaded.config) return loaded.code;
@@ -63,7 +83,8 @@
         log::Log log(static_cast<log::Form>(config.log().form()),
                      static_cast<log::Level>(config.log().level()), config.log().file());
         event::Loop loop;
-        Instance instance(loop, config, folder_of(path), log);
+        const auto started = start_instance(loop, config, folder_of(path), log);
+        Instance& instance = *started;
         log.write(log::Level::warning, "listening",
                   {{"port", static_cast<std::int64_t>(instance.port())},
                    {"rank", static_cast<std::int64_t>(config.peers().rank())}});
--- a/src/cli/node_program.cpp
+++ b/src/cli/node_program.cpp
@@ -22,8 +22,6 @@
 constexpr Micros killed_after = 700ms,
                  deadline_counted = 3s;   // SIGKILL: so long after SIGTERM and a deadline
 constexpr Micros kill_margin = 100ms;     // before it, for the last answer to get out
-constexpr Micros start_again = 50ms;      // between tries of a start
-constexpr Micros start_most = 8s;         // for what the system refuses: a socket, an address
 constexpr Micros start_config_most = 3s;  // for a configuration that cannot be read or is not whole
 constexpr Micros reload_again = 100ms;    // between tries of a new configuration
 constexpr Micros reload_most = 10s;
@@ -82,8 +80,10 @@
             return start_later(error.what(), start_config_most, error.exit_code);
         } catch (const std::invalid_argument& error) {
             return give_up(error.what(), Exit::bad_answer);
-        } catch (const std::exception& error) {
+        } catch (const event::SystemRefused& error) {
             return start_later(error.what(), start_most, Exit::system_refused);
+        } catch (const std::exception& error) {
+            return give_up(error.what(), Exit::system_refused);
         }
         log_.write(log::Level::warning, "ready", node_->limits());
         loop_.after(counts_period, [this] { count(); });
--- a/src/event/listener.cpp
+++ b/src/event/listener.cpp
@@ -61,8 +61,8 @@
                    std::function<void(Fd, std::string)> accepted)
     : loop_(loop), spare_(open_spare()), room_(std::move(room)), accepted_(std::move(accepted)) {
     const auto fail = [&](const char* what) {
-        throw std::runtime_error("listening on " + ip + " port " + std::to_string(port) + ": " + what + ": " +
-                                 std::strerror(errno));
+        throw SystemRefused("listening on " + ip + " port " + std::to_string(port) + ": " + what + ": " +
+                            std::strerror(errno));
     };
     fd_ = Fd(::socket(v6 ? AF_INET6 : AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!fd_) fail("socket");
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -20,7 +20,7 @@
 Loop::Loop() : loop_(ev_loop_new(EVFLAG_AUTO)) {
     // A wait that fails, for want of memory for one, is made again; libev would end the process.
     ev_set_syserr_cb([](const char*) noexcept { ::nanosleep(&failed_wait, nullptr); });
-    if (!loop_) throw std::runtime_error("event loop: the system offers no way to wait for sockets");
+    if (!loop_) throw SystemRefused("event loop: the system offers no way to wait for sockets");
     now_ = wait_ended_ = ready_since_ = clock();
     ev_timer_init(
         &timer_, [](struct ev_loop*, ev_timer* t, int) { static_cast<Loop*>(t->data)->fire(); }, 0, 0);
--- a/src/event/loop.h
+++ b/src/event/loop.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <stdexcept>
 #include <string>
 #include <utility>
 #include <vector>
@@ -15,6 +16,11 @@
 
 using Micros = std::chrono::microseconds;
 
+// The system refused something that a start needs: it may not, a moment later.
+struct SystemRefused : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
 class Loop {
   public:
     Loop();
--- a/src/peers/plain.cpp
+++ b/src/peers/plain.cpp
@@ -36,7 +36,7 @@
     const Address own(listen);
     fd_ = event::Fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!fd_ || ::bind(fd_.get(), own.get(), sizeof own.four) != 0)
-        throw std::runtime_error("peers: no socket at " + listen.text() + ": " + std::strerror(errno));
+        throw event::SystemRefused("peers: no socket at " + listen.text() + ": " + std::strerror(errno));
     io_ = std::make_unique<event::Io>(loop, fd_.get(), [this](int) { receive(); });
     io_->want(event::readable);
 }
