Tests: one folder of keys for the tests of keys and of clocks

Cause: the same registry stood in two tests. Change: tests/gateway/key_folder.h; no assertion changed.

--- /dev/null
+++ b/tests/gateway/key_folder.h
@@ -0,0 +1,53 @@
+// A registry of keys in a folder of its own, and what a client with a key asks.
+#pragma once
+
+#include "registry/store.h"
+#include "tests/gateway/rig.h"
+
+namespace key_test {
+using namespace rig;
+using namespace silverreach::accounts;
+using silverreach::registry::Disk;
+using silverreach::registry::Store;
+
+inline Wall now() {
+    return std::chrono::duration_cast<Wall>(std::chrono::system_clock::now().time_since_epoch());
+}
+struct Keys {
+    std::string folder = "/tmp/silverreach-keys-XXXXXX";
+    Disk disk;
+    std::unique_ptr<Store> store;
+    Keys() {
+        mkdtemp(folder.data());
+        store = std::make_unique<Store>(folder, Store::Mode::write, true, disk);
+        make(AddPlan{"basic"});
+        make(AddPlan{"tiny"});
+        make(AddPlan{"unheard-of"});
+        make(PutAccount{"birds", "basic"});
+    }
+    ~Keys() { std::system(("rm -rf '" + folder + "'").c_str()); }
+    void make(const Deed& deed) { EXPECT_EQ(store->change(deed, now()), ""); }
+    std::string issue(const std::string& account, Wall cutoff = never) {
+        const std::string text = make_key(silverreach::registry::random_bytes());
+        make(IssueKey{std::string(look_at(text).id), account, hash_of(store->registry().pepper(), text),
+                      now() - Wall(10'000), cutoff});
+        return text;
+    }
+    std::string rotate(const std::string& old, Wall overlap) {
+        const std::string text = make_key(silverreach::registry::random_bytes());
+        make(RotateKey{std::string(look_at(old).id), std::string(look_at(text).id),
+                       hash_of(store->registry().pepper(), text), overlap});
+        return text;
+    }
+    Options options() const {
+        Options o;
+        o.accounts = false;
+        o.more = "registry: \"" + folder + "\" clock_skew_ms: 0\n";
+        return o;
+    }
+};
+inline std::string with(const std::string& key) {
+    return TestGateway::get("/mine", "X-Key: " + key + "\r\n");
+}
+
+}  // namespace key_test
--- a/tests/gateway/keys_test.cpp
+++ b/tests/gateway/keys_test.cpp
@@ -1,47 +1,9 @@
 // Keys from a registry that changes while the gateway runs.
-#include "registry/store.h"
-#include "rig.h"
+#include "tests/gateway/key_folder.h"
 
-using namespace rig;
-using namespace silverreach::accounts;
-using silverreach::registry::Disk;
-using silverreach::registry::Store;
+using namespace key_test;
 
 namespace {
-Wall now() { return std::chrono::duration_cast<Wall>(std::chrono::system_clock::now().time_since_epoch()); }
-struct Keys {
-    std::string folder = "/tmp/silverreach-keys-XXXXXX";
-    Disk disk;
-    std::unique_ptr<Store> store;
-    Keys() {
-        mkdtemp(folder.data());
-        store = std::make_unique<Store>(folder, Store::Mode::write, true, disk);
-        make(AddPlan{"basic"});
-        make(AddPlan{"tiny"});
-        make(AddPlan{"unheard-of"});
-        make(PutAccount{"birds", "basic"});
-    }
-    ~Keys() { std::system(("rm -rf '" + folder + "'").c_str()); }
-    void make(const Deed& deed) { EXPECT_EQ(store->change(deed, now()), ""); }
-    std::string issue(const std::string& account) {
-        const std::string text = make_key(silverreach::registry::random_bytes());
-        make(IssueKey{std::string(look_at(text).id), account, hash_of(store->registry().pepper(), text),
-                      now() - Wall(10'000), never});
-        return text;
-    }
-    std::string rotate(const std::string& old, Wall overlap) {
-        const std::string text = make_key(silverreach::registry::random_bytes());
-        make(RotateKey{std::string(look_at(old).id), std::string(look_at(text).id),
-                       hash_of(store->registry().pepper(), text), overlap});
-        return text;
-    }
-    Options options() const {
-        Options o;
-        o.accounts = false;
-        o.more = "registry: \"" + folder + "\" clock_skew_ms: 0\n";
-        return o;
-    }
-};
 // Asks again and again, each time with the loop at rest in between.
 bool eventually(TestGateway& g, const std::function<bool()>& holds) {
     for (int i = 0; i < 100; ++i) {
@@ -50,7 +12,6 @@
     }
     return false;
 }
-std::string with(const std::string& key) { return TestGateway::get("/mine", "X-Key: " + key + "\r\n"); }
 }  // namespace
 
 TEST(Keys, RotationAndRevocationReachTheRunningGateway) {
