Listener: who comes after a shortage has its whole time, where nobody waited before

Cause: accept fails for want of a descriptor also with an empty queue, and the first connection after it was dated by the shortage's beginning: 504 to a client in Scale.DescriptorsUsedUp... under ASan. Change: after a failed accept the queue is looked at; empty, it dates from now. Where somebody waited all along the earlier moment still holds for whoever is taken with it.

--- a/src/event/listener.cpp
+++ b/src/event/listener.cpp
@@ -3,6 +3,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <linux/filter.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -51,6 +52,10 @@
             return false;
     }
 }
+bool somebody_waits(int fd) {
+    pollfd look{fd, POLLIN, 0};
+    return ::poll(&look, 1, 0) > 0;
+}
 bool has_bytes(int fd) {
     char byte;
     return ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
@@ -132,13 +137,19 @@
 // first, and only then a connection that has said nothing.
 Listener::Took Listener::accept_failed(int error) {
     unwatched_since_ = waiting_since_;
-    if (error != EMFILE && error != ENFILE) return Took::none;
+    relieve(error);
+    // accept fails for want of a descriptor though nobody waits: what comes next has come since now.
+    if (!somebody_waits(fd_.get())) unwatched_since_ = loop_.now();
+    return Took::none;
+}
+
+void Listener::relieve(int error) {
+    if (error != EMFILE && error != ENFILE) return;
     const Micros now = loop_.now();
     if (short_since_ == 0us) short_since_ = now;
-    if (now - short_since_ < shortage_passes) return Took::none;
-    if (give_up_idle_ && give_up_idle_()) return Took::none;
+    if (now - short_since_ < shortage_passes) return;
+    if (give_up_idle_ && give_up_idle_()) return;
     if (now - short_since_ >= shortage_lasts) accept_with_spare();
-    return Took::none;
 }
 
 void Listener::accept_with_spare() {
--- a/src/event/listener.h
+++ b/src/event/listener.h
@@ -34,6 +34,7 @@
     Took accept_some();
     Took accept_failed(int error);
     void take(Fd fd, std::string client);
+    void relieve(int error);
     void accept_with_spare();
     void pause();
     void take_rest();
