--- a/tests/gateway/http_test.cpp
+++ b/tests/gateway/http_test.cpp
@@ -272,3 +272,47 @@
     EXPECT_TRUE(has(c->got, "HTTP/1.1 200")) << c->got;
     EXPECT_TRUE(has(c->got, "HTTP/1.1 504")) << c->got;
 }
+
+TEST(Pipelined, AClientThatGoesBehindManyRequestsIsSeen) {
+    TestGateway g;
+    std::size_t begun = 0;
+    g.hosts[0]->respond = [&](ScriptedHost::Peer& p, const std::string&) {
+        ++begun;
+        g.loop.after(60ms, [&p] { p.stream.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"); });
+    };
+    auto c = g.connect();
+    const std::string one =
+        "GET /mine HTTP/1.1\r\nHost: h\r\nX-Key: k1\r\nX-Long: " + std::string(1000, 'x') + "\r\n\r\n";
+    std::string all;
+    for (int i = 0; i < 300; ++i) all += one;
+    c->stream.write(all);
+    ASSERT_TRUE(g.run([&] { return begun > 0; }));
+    g.pass(30ms);
+    c.reset();
+    g.pass(100ms);
+    const std::size_t before = begun;
+    g.pass(600ms);
+    EXPECT_EQ(begun, before) << "nothing begins for it more than 0.1 s after its close";
+}
+
+TEST(Pipelined, NoFurtherAttemptBeginsForAClientThatHasGoneBehindItsRequests) {
+    Options o;
+    o.hosts = 2;
+    TestGateway g(o);
+    std::vector<ScriptedHost::Peer*> asked;
+    for (auto& h : g.hosts)
+        h->respond = [&](ScriptedHost::Peer& p, const std::string&) { asked.push_back(&p); };
+    auto c = g.connect();
+    const std::string one =
+        "GET /mine HTTP/1.1\r\nHost: h\r\nX-Key: k1\r\nX-Long: " + std::string(1000, 'x') + "\r\n\r\n";
+    std::string all;
+    for (int i = 0; i < 300; ++i) all += one;
+    c->stream.write(all);
+    ASSERT_TRUE(g.run([&] { return asked.size() == 1; }));
+    g.pass(30ms);
+    c.reset();
+    g.pass(120ms);
+    asked[0]->stream.reset();  // the attempt may have run, and the request may be repeated
+    g.pass(300ms);
+    EXPECT_EQ(asked.size(), 1u);
+}
