HTTP: a client's end behind bytes that were not read is looked for before an attempt goes out

Cause: the HTTP front stops reading at 64 KiB of waiting requests and saw no end behind them. Change: Instance::hand_over looks for the client as the node does (not where clients may end their half and wait).

--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -215,6 +215,7 @@
 // ---- upstream::Events ------------------------------------------------------------------------------------
 
 bool Instance::hand_over(const core::AttemptKey& key) {
+    front_->look_for_client(key.request);
     return core_->hand_over(event::Loop::clock(), key).has_value();
 }
 bool Instance::answer_begins(const core::AttemptKey& key, const std::string& host, Micros took,
--- a/src/fronts/http/connection.cpp
+++ b/src/fronts/http/connection.cpp
@@ -260,6 +260,14 @@
     go();
 }
 
+// Where clients may end their half and wait on, an end tells nothing.
+void Front::Connection::look_for_client() {
+    const bool may_wait = front_.config_.listen().half_closed() == config::Listen::ANSWER;
+    if (may_wait || state_ == State::gone || !stream_.left()) return;
+    leave_request();
+    go();
+}
+
 void Front::Connection::on_broken(int) {
     if (state_ == State::gone) return;
     leave_request();
--- a/src/fronts/http/connection.h
+++ b/src/fronts/http/connection.h
@@ -19,7 +19,8 @@
     void answer_body(std::string_view bytes);
     void answer_ended(bool whole, const wire::Fields& trailers);
     std::shared_ptr<const upstream::OutRequest> out_request() const;
-    bool owes() const;  // an answer, its last bytes, or a look at what has come
+    void look_for_client();  // its end may stand behind bytes that were not read
+    bool owes() const;       // an answer, its last bytes, or a look at what has come
 
     void on_data(std::string_view bytes) override;
     void on_end() override;
--- a/src/fronts/http/front.cpp
+++ b/src/fronts/http/front.cpp
@@ -67,6 +67,9 @@
     const Connection* c = find(id);
     return c ? c->out_request() : nullptr;
 }
+void Front::look_for_client(RequestId id) {
+    if (Connection* c = find(id)) c->look_for_client();
+}
 void Front::finish(RequestId id, const core::Final& answer) {
     if (Connection* c = find(id)) c->finish(answer);
 }
--- a/src/fronts/http/front.h
+++ b/src/fronts/http/front.h
@@ -45,6 +45,8 @@
     std::size_t connections() const;
     std::size_t in_hand() const { return by_id_.size(); }
 
+    // Before an attempt goes out: sees to it that the client is still there.
+    void look_for_client(RequestId id);
     // ---- what comes back for a request; an unknown id is passed over ----
     std::shared_ptr<const upstream::OutRequest> out_request(RequestId id) const;
     void finish(RequestId id, const core::Final& answer);
