--- a/tests/support/node_process.h
+++ b/tests/support/node_process.h
@@ -10,6 +10,7 @@
 
 #include <fstream>
 #include <optional>
+#include <set>
 #include <sstream>
 #include <string>
 #include <vector>
@@ -26,8 +27,7 @@
                                        std::to_string(1 + ::getpid() % 250) + ".1";
     return address;
 }
-// A port of it that nobody listens on now.
-inline int free_port() {
+inline int some_free_port() {
     const event::Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
     sockaddr_in at{};
     at.sin_family = AF_INET;
@@ -37,6 +37,13 @@
     ::getsockname(fd.get(), reinterpret_cast<sockaddr*>(&at), &size);
     return ntohs(at.sin_port);
 }
+// A port of it that nobody listens on now, and that was not given out before: the system may offer a closed
+// one again.
+inline int free_port() {
+    static std::set<int> given;
+    const int port = some_free_port();
+    return given.insert(port).second ? port : free_port();
+}
 
 inline std::string replaced(std::string text, const std::string& what, const std::string& by) {
     const std::size_t at = text.find(what);
