--- a/bench/bare_relay.h
+++ b/bench/bare_relay.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <unordered_map>
 
+#include "event/listener.h"
 #include "fronts/http/translate.h"
 #include "upstream/upstream.h"
 
