--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -1,8 +1,6 @@
 #include "cli/instance.h"
 
-#include <fstream>
 #include <random>
-#include <sstream>
 #include <stdexcept>
 
 namespace silverreach::cli {
--- a/tests/soak/world.h
+++ b/tests/soak/world.h
@@ -11,7 +11,6 @@
 #include <string>
 #include <vector>
 
-#include "event/graveyard.h"
 #include "event/listener.h"
 #include "event/stream.h"
 #include "resp/command.h"
@@ -138,7 +137,7 @@
     std::deque<std::pair<Micros, Micros>> lags_;
 };
 
-// Makes the troubles of a day: which, when and where, by the world's seed. Calls `done` after `span`.
+// Makes the troubles of a day for `span`: which, when and where, by the world's seed. `tell` hears of each.
 void play_troubles(World& world, Micros span, std::function<void(std::string)> tell);
 
 }  // namespace soak
