Review case 2: after a bad client, long requests end their connection and others are lost

Cause: the bytes of a malformed frame are taken off the buffer budget twice when its connection begins to linger, the unsigned count wraps, and every incomplete command above 4,096 bytes is refused from then on.

Change: review/2 with claim, script and stand-in; the case of the revoked key moves to review/3; common parts of the stand-ins in review/standins/platform.h.

--- a/review/standins/late_copies.cpp
+++ b/review/standins/late_copies.cpp
@@ -6,14 +6,12 @@
 //
 // Exit codes: 0 the rule held, 1 it was broken, 2 the case could not run.
 #include <deque>
-#include <memory>
 
-#include "standin.h"
+#include "platform.h"
 
 namespace {
 using namespace standin;
 
-constexpr int host_count = 4;
 constexpr int client_count = 24;
 constexpr Millis run_time = 20s;
 constexpr int mean_pause_ms = 150;               // of a client between two requests
@@ -22,10 +20,6 @@
 constexpr int min_work_ms = 40, max_work_ms = 100;
 constexpr Millis client_patience = 3s;
 
-int uniform(std::mt19937& random, int low, int high) {
-    return std::uniform_int_distribution<int>(low, high)(random);
-}
-
 // The bytes of one connection from a host to the instance, each piece with the moment at which the
 // network delivers it, in order.
 class DelayedOutput {
@@ -94,8 +88,7 @@
         } else {
             std::this_thread::sleep_for(Millis(uniform(random, min_work_ms, max_work_ms)));
             const std::string& id = words->at(2);
-            const std::string value = "value of " + id;
-            const std::string answer = "*3\r\n" + bulk(value) + "$-1\r\n" + bulk("backlog=0");
+            const std::string answer = answer_for(id);
             ++world.runs;
             world.record.line("run host=" + std::to_string(host) + " id=" + id);
             output.write(answer, 0ms);
@@ -110,7 +103,7 @@
 }
 
 void check_answer(World& world, const std::string& id, const std::string& value) {
-    const bool own = value == "value of " + id;
+    const bool own = value == value_for(id);
     ++(own ? world.served : world.foreign);
     world.record.line("answered id=" + id + " served '" + value + "'" +
                       (own ? "" : " FOREIGN: made for another request"));
@@ -125,12 +118,7 @@
         const std::string id = hex(std::uint64_t{random()} << 32 | random());
         const std::string customer = hex(static_cast<std::uint64_t>(number) + 1);
         const bool is_lookup = uniform(random, 1, 100) <= 53;
-        const std::string common = ",t=institute,d=1500,units=1,spread=1,first=0";
-        const std::vector<std::string> words =
-            is_lookup
-                ? std::vector<std::string>{"SVC.QUERY", customer, id, "c=site-lookup" + common}
-                : std::vector<std::string>{"SVC.SUBMIT", customer, id,
-                                           "c=count-submit,k=" + id + common, "sheet"};
+        const auto words = request_words(is_lookup, customer, id, "sheet");
         ++world.sent;
         world.record.line("sent id=" + id + " " + words.front());
         if (!connection.is_open() || !connection.write(command(words))) connection.reopen(port);
@@ -151,38 +139,11 @@
     }
 }
 
-std::string config(int port, int discovery_port, const std::string& list) {
-    return R"({"name":"n0","listen":"127.0.0.1:)" + std::to_string(port) +
-           R"(","discovery":"127.0.0.1:)" + std::to_string(discovery_port) +
-           R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
-"known":)" +
-           list +
-           R"(,"settings":{"rank":0,"instances":1,"locality":"fes-hall","tickUs":2000,
-"requestClasses":[
- {"name":"site-lookup","effect":"retryable","deadlineUs":2000000,"promiseUs":600000,"value":3},
- {"name":"count-submit","effect":"dedup","dedupScope":"cell","deadlineUs":2000000,
-  "promiseUs":750000,"repeatWindowUs":1200000,"value":5}],
-"tiersOfService":[{"name":"institute","rate":200,"mostAtOnce":400}],
-"ceilings":{"cancel":true,"connIdleUs":15000000,"connectTimeoutUs":250000,"maxAttempts":4,
- "maxRetryAfterUs":2000000,"mayDuplicate":false,"peers":false,"probes":true,"retryAfter":true},
-"familyInfo":{"unitsTop":1,"mailPerS":100},
-"reporting":{"how":"inline","names":["backlog"]},
-"guarantees":{"coldUs":17000000,"fallUs":2000000,"overloadFactor":3,"startCapacity":0.18}}})";
-}
-
 int run(const std::string& folder, const std::string& record_path) {
     World world(record_path);
-    std::vector<std::unique_ptr<Server>> hosts;
-    std::string targets;
-    for (int i = 0; i < host_count; ++i) {
-        hosts.push_back(std::make_unique<Server>(
-            [&world, i](Connection& connection) { serve_host(world, i, connection); }));
-        targets += std::string(i ? "," : "") + R"({"uid":"s-)" + std::to_string(i) +
-                   R"(","endpoint":"127.0.0.1:)" + std::to_string(hosts.back()->port()) +
-                   R"(","az":"fes-hall","model":"small-3core","pod_group":)" +
-                   std::to_string(i / 2) + R"(,"state":"ready","capacity_hint":1,"boot_ms":0})";
-    }
-    const std::string list = R"({"rev":41,"all":true,"targets":[)" + targets + "]}";
+    const auto hosts = start_hosts(
+        [&world](int host, Connection& connection) { serve_host(world, host, connection); });
+    const std::string list = list_of(hosts);
     Server discovery([&list](Connection& connection) { serve_list(connection, list); });
     const int port = free_port();
     write_file(folder + "/config.json", config(port, discovery.port(), list));
--- a/review/standins/revoked_key.cpp
+++ b/review/standins/revoked_key.cpp
@@ -1,4 +1,4 @@
-// Case 2: host and clients of one HTTP gateway with a registry of keys. A key is revoked while
+// Case 3: host and clients of one HTTP gateway with a registry of keys. A key is revoked while
 // hundreds of silent clients hold the gateway's descriptors. After they have left, the revoked key
 // must not be served.
 //
