RESP front end: counts tell the buffered bytes and the clients ended for them

The counts line gets buffer_full (connections ended with an error because the budget was exceeded) and buffered_bytes (bytes in use now).

Hypotheses before it: (1) the budget is really full, (2) the bytes in use are accounted wrongly, (3) the long commands are malformed for the parser, (4) the limit is computed wrongly.

--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -194,6 +194,8 @@
             {"accepted", to_int64(frontend_stats.accepted)},
             {"nonsense", to_int64(frontend_stats.invalid_commands)},
             {"broken", to_int64(frontend_stats.protocol_errors)},
+            {"buffer_full", to_int64(frontend_stats.buffer_limit_reached)},
+            {"buffered_bytes", to_int64(frontend_stats.buffered_bytes)},
             {"silent", to_int64(frontend_stats.silent)},
             {"turned_away", to_int64(frontend_stats.rejected)},
             {"hosts", to_int64(connection_stats.hosts)},
--- a/src/frontend/resp/buffer_budget.h
+++ b/src/frontend/resp/buffer_budget.h
@@ -12,6 +12,7 @@
     void update(std::size_t before, std::size_t after) {
         used_bytes_ = used_bytes_ - before + after;
     }
+    std::size_t used_bytes() const { return used_bytes_; }
     bool exceeded() const { return used_bytes_ > max_bytes_; }
 
   private:
--- a/src/frontend/resp/frontend.cpp
+++ b/src/frontend/resp/frontend.cpp
@@ -85,6 +85,7 @@
     stats.connections = connections_.size();
     stats.accepted = connections_.stats().accepted;
     stats.rejected = connections_.stats().rejected;
+    stats.buffered_bytes = context_.buffer_budget.used_bytes();
     return stats;
 }
 
--- a/src/frontend/resp/frontend.h
+++ b/src/frontend/resp/frontend.h
@@ -72,7 +72,8 @@
     struct Stats : FrontendCounters {
         std::size_t connections = 0;
         std::uint64_t accepted = 0;
-        std::uint64_t rejected = 0;  // at max_connections
+        std::uint64_t rejected = 0;      // at max_connections
+        std::size_t buffered_bytes = 0;  // now, of commands that are not handled yet
     };
     Stats stats() const;
 
--- a/src/frontend/resp/frontend_context.h
+++ b/src/frontend/resp/frontend_context.h
@@ -16,7 +16,9 @@
 struct FrontendCounters {
     std::uint64_t invalid_commands = 0;
     std::uint64_t protocol_errors = 0;  // malformed or unfinished commands
-    std::uint64_t silent = 0;           // connections closed without a complete command, or evicted
+    // Connections ended with an error because all connections together exceeded the buffer budget.
+    std::uint64_t buffer_limit_reached = 0;
+    std::uint64_t silent = 0;  // connections closed without a complete command, or evicted
     // Rule violations: connections that this instance closed with requests in flight.
     std::uint64_t closed_with_requests = 0;
     std::array<std::uint64_t, close_reason_count> closes{};  // by CloseReason
--- a/src/frontend/resp/resp_connection.cpp
+++ b/src/frontend/resp/resp_connection.cpp
@@ -86,8 +86,10 @@
     const bool resume_later = result == ReadResult::turn_limit_reached ||
                               (result == ReadResult::no_capacity && !must_defer_commands());
     const bool incomplete = !resume_later && !must_defer_commands();
-    if (incomplete && context_.buffer_budget.exceeded() && input_.size() > guaranteed_input_bytes)
+    if (incomplete && context_.buffer_budget.exceeded() && input_.size() > guaranteed_input_bytes) {
+        ++context_.counters.buffer_limit_reached;
         return fail("too much in hand");
+    }
     update_reading();
     if (resume_later) call_later(0us, [this] { resume(); });
 }
