RESP front end: a malformed frame returns its buffered bytes once

Cause: RespConnection::read_commands remembers the size of its input, and a malformed frame with no response pending makes fail() reach linger() within that call. linger() clears the input and takes its bytes off the budget; read_commands goes on and takes the same bytes off again. BufferBudget kept an unsigned total and believed the sizes that it was told, so it wrapped and stayed exceeded.

ReadBuffer tests before the fix: AMalformedFrameReturnsItsBytesOnce, AMalformedFrameBehindACommandReturnsItsBytesOnce and AClientThatLeavesReturnsItsBytesOnce fail with that error line; with a request in flight before the frame (linger() then runs later) and at the timeout they pass, which leaves the linger within the read as the only path.

Fix: a connection holds a reservation of the budget, which knows its own bytes. The total is the sum of the reservations, whatever a connection does and in which order, and what is left goes back on destruction. read_commands stops when the connection lingers. The class moves to src/event, as both sides of the gateway can use it.

--- a/src/frontend/resp/frontend.cpp
+++ b/src/frontend/resp/frontend.cpp
@@ -34,7 +34,7 @@
                    const platform::CommandValidator& validator, const FrontendLimits& limits,
                    core::RequestCoordinator& core, std::function<Micros()> clock)
     : loop_(loop),
-      context_{validator, core, std::move(clock), BufferBudget(limits.max_buffered_bytes)},
+      context_{validator, core, std::move(clock), event::BufferBudget(limits.max_buffered_bytes)},
       connections_(loop, listen, policy_of(limits),
                    [this](event::Fd fd, const std::string&, Micros waiting_since) {
                        return std::make_unique<RespConnection>(context_, connections_,
--- a/src/frontend/resp/frontend_context.h
+++ b/src/frontend/resp/frontend_context.h
@@ -6,7 +6,7 @@
 #include <functional>
 
 #include "core/request_coordinator.h"
-#include "frontend/resp/buffer_budget.h"
+#include "event/buffer_budget.h"
 #include "frontend/resp/connection_close.h"
 #include "frontend/resp/request_table.h"
 #include "platform/request.h"
@@ -28,8 +28,8 @@
 struct FrontendContext {
     const platform::CommandValidator& validator;
     core::RequestCoordinator& core;
-    std::function<Micros()> clock;  // the core's time
-    BufferBudget buffer_budget;
+    std::function<Micros()> clock;      // the core's time
+    event::BufferBudget buffer_budget;  // of input that is not handled yet
     RequestTable requests = {};
     FrontendCounters counters = {};
     std::function<void(const ConnectionClose&)> on_close = {};  // may be empty
--- a/src/frontend/resp/resp_connection.cpp
+++ b/src/frontend/resp/resp_connection.cpp
@@ -29,14 +29,11 @@
                                Micros waiting_since)
     : ClientConnection(manager, std::move(fd), waiting_since),
       context_(context),
+      buffered_(context.buffer_budget),
       opened_at_(loop().now()) {}
 
 // ---- commands -------------------------------------------------------------------------------
 
-void RespConnection::update_buffer_budget(std::size_t size_before) {
-    context_.buffer_budget.update(size_before, input_.size());
-}
-
 bool RespConnection::discard(std::size_t bytes) {
     discarded_bytes_ += bytes;
     return discarded_bytes_ <= max_discarded_bytes;
@@ -55,9 +52,8 @@
         if (!discard(bytes.size())) stream().set_reading(false);
         return;
     }
-    const std::size_t size_before = input_.size();
     input_.append(bytes);
-    update_buffer_budget(size_before);
+    update_buffer_budget();
     arrivals().record(bytes.size(), stream().arrived_at());
     read_commands();
 }
@@ -73,13 +69,13 @@
 void RespConnection::read_commands() {
     if (reading_commands_ || state_ != State::open) return;
     reading_commands_ = true;
-    const std::size_t size_before = input_.size();
     std::size_t consumed = 0;
     const ReadResult result = read_batch(consumed);
     reading_commands_ = false;
-    if (state_ == State::closed) return;
+    // A malformed frame with no response pending before it makes the connection linger at once.
+    if (state_ == State::closed || state_ == State::lingering) return;
     consume_input(consumed);
-    update_buffer_budget(size_before);
+    update_buffer_budget();
     flush();
     if (state_ == State::closed) return;
     // flush may have removed the reason for stopping, and no other event would resume reading.
@@ -326,9 +322,9 @@
     report_close(reason);
     start_wait(loop().now());
     unread_since_ = 0us;
-    const std::size_t size_before = input_.size();
     input_.clear();
-    update_buffer_budget(size_before);
+    input_.shrink_to_fit();
+    update_buffer_budget();
     start_lingering_close();
 }
 
@@ -337,7 +333,7 @@
     state_ = State::closed;
     report_close(reason);
     stream().close();
-    context_.buffer_budget.update(input_.size(), 0);
+    buffered_.resize(0);
     const std::vector<RequestId> abandoned = responses_.pending();
     for (const RequestId id : abandoned)
         context_.requests.take(id);
--- a/src/frontend/resp/resp_connection.h
+++ b/src/frontend/resp/resp_connection.h
@@ -8,6 +8,7 @@
 #include <string_view>
 #include <vector>
 
+#include "event/buffer_budget.h"
 #include "frontend/common/client_connection.h"
 #include "frontend/resp/frontend_context.h"
 #include "frontend/resp/invalid_command_throttle.h"
@@ -64,7 +65,7 @@
     void reject_command(std::string_view reason);
     bool must_defer_commands() const;
     void update_reading();
-    void update_buffer_budget(std::size_t size_before);  // of input_, before a change
+    void update_buffer_budget() { buffered_.resize(input_.size()); }
 
     // ---- responses and closing ----
     void flush();
@@ -79,7 +80,8 @@
     FrontendContext& context_;
     State state_ = State::open;
     silverreach::resp::CommandParser parser_;
-    std::string input_;  // bytes that have not been handled yet
+    std::string input_;                          // bytes that have not been handled yet
+    event::BufferBudget::Reservation buffered_;  // for input_
     ResponseQueue responses_;
     InvalidCommandThrottle throttle_;
     bool throttled_ = false;
