HTTP front end: a request that is too large and malformed ends once

What operators saw: a second access log entry, status 400 with no method, path or account, for a request that had been answered with 413. What clients saw: nothing, as nothing is sent after the end of the connection.

A body over the limit is answered in on_body; the parser reads the same bytes to their end, and a trailer 'Content-Length: x' makes it call on_fault, which made a new request and ended that one too (lingering counted twice).

Evidence: the new test failed before with both entries in the log. The other callers were read: on_data and process_pending ask accepts_input() after the parser, on_head stops it, on_message_end asks for the state.

Fix: on_fault does nothing once the connection takes no input.

--- a/src/frontend/http/http_connection.cpp
+++ b/src/frontend/http/http_connection.cpp
@@ -97,6 +97,8 @@
 }
 
 void HttpConnection::on_fault(const wire::Fault& fault) {
+    // The parser reads on after a reply that ended the request, up to the end of the bytes.
+    if (!accepts_input()) return;
     if (!request_) {
         request_ = std::make_unique<ClientRequest>();
         request_->received_at = wait_started();
--- a/tests/gateway/http_test.cpp
+++ b/tests/gateway/http_test.cpp
@@ -184,6 +184,25 @@
     EXPECT_EQ(status(gateway.exchange(TestGateway::get_request("/mine", "X-Key: k1\r\n"))), 200);
 }
 
+// Guards against a request that ends twice: its body is too large, and the rest of the same read is
+// malformed.
+TEST(HttpFrontend, ARequestThatIsTooLargeAndMalformedIsAnsweredAndLoggedOnce) {
+    Options options;
+    options.listen_fields = "max_body_bytes: 4";
+    options.log_file = "/tmp/silverreach-access-log-" + std::to_string(::getpid());
+    TestGateway gateway(options);
+    const std::string response = gateway.exchange(
+        "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "5\r\nhello\r\n0\r\nContent-Length: x\r\n\r\n");
+    EXPECT_EQ(status(response), 413);
+    gateway.flush_log();
+    std::ifstream file(options.log_file);
+    const std::string log((std::istreambuf_iterator<char>(file)), std::istreambuf_iterator<char>());
+    ::unlink(options.log_file.c_str());
+    EXPECT_TRUE(contains(log, "\"status\":413")) << log;
+    EXPECT_FALSE(contains(log, "\"status\":400")) << log;
+}
+
 TEST(HttpFrontend, SlowRequestsGet408AndIdleConnectionsAreClosed) {
     Options options;
     options.listen_fields = "head_ms: 300 body_ms: 300 idle_ms: 400";
--- a/tests/gateway/test_gateway.h
+++ b/tests/gateway/test_gateway.h
@@ -75,12 +75,13 @@
     bool accounts = true;
     int connect_ms = 200, deadline_ms = 1000;
     int unscripted_port = 0;  // of a host on loopback that is not in `hosts`; 0: none
+    std::string log_file = "/dev/null";
 };
 
 class TestGateway : public test_support::LoopRunner {
   public:
     explicit TestGateway(const Options& options = {})
-        : log_(log::Format::json, log::Level::debug, "/dev/null") {
+        : log_(log::Format::json, log::Level::debug, options.log_file) {
         signal(SIGPIPE, SIG_IGN);
         char folder_template[] = "/tmp/silverreach-test-XXXXXX";
         folder_ = mkdtemp(folder_template);
@@ -152,6 +153,7 @@
         write("hosts.json",
               R"({"clusterName":"hosts","endpoints":[{"lbEndpoints":[)" + endpoints + "]}]}");
     }
+    void flush_log() { log_.flush(); }
     bool reload() {
         bool is_done = false, is_accepted = false;
         instance->reload([&](bool accepted) { is_done = true, is_accepted = accepted; });
