--- a/src/upstream/resp/response_reader.cpp
+++ b/src/upstream/resp/response_reader.cpp
@@ -11,18 +11,18 @@
 constexpr std::size_t max_retained_capacity = 4 * bytes_per_kib;  // of the buffer between replies
 }  // namespace
 
-ResponseReader::ResponseReader(std::size_t& total_buffered)
-    : parser_(reply_limits), total_buffered_(total_buffered) {}
+ResponseReader::ResponseReader(event::BufferBudget& budget)
+    : parser_(reply_limits), reservation_(budget) {}
 
 resp::ParseStatus ResponseReader::append(std::string_view bytes) {
     buffer_.append(bytes);
-    total_buffered_ += bytes.size();
+    reservation_.resize(buffer_.size());
     return parser_.parse(buffer_);
 }
 
 void ResponseReader::reset() {
-    total_buffered_ -= buffer_.size();
     buffer_.clear();
+    reservation_.resize(0);
     if (buffer_.capacity() > max_retained_capacity) buffer_.shrink_to_fit();
     parser_.reset();
 }
--- a/src/upstream/resp/response_reader.h
+++ b/src/upstream/resp/response_reader.h
@@ -5,15 +5,15 @@
 #include <string>
 #include <string_view>
 
+#include "event/buffer_budget.h"
 #include "resp/reply_parser.h"
 
 namespace silverreach::upstream_resp {
 
 class ResponseReader {
   public:
-    // `total_buffered` is the number of bytes that all readers of an Upstream buffer. It must
-    // outlive the reader.
-    explicit ResponseReader(std::size_t& total_buffered);
+    // `budget` is shared by all readers of an Upstream and must outlive the reader.
+    explicit ResponseReader(event::BufferBudget& budget);
 
     resp::ParseStatus append(std::string_view bytes);
     std::size_t buffered() const { return buffer_.size(); }
@@ -27,7 +27,7 @@
   private:
     resp::ReplyParser parser_;
     std::string buffer_;
-    std::size_t& total_buffered_;
+    event::BufferBudget::Reservation reservation_;  // for buffer_
 };
 
 }  // namespace silverreach::upstream_resp
--- a/src/upstream/resp/upstream.cpp
+++ b/src/upstream/resp/upstream.cpp
@@ -32,11 +32,12 @@
 Upstream::Upstream(event::Loop& loop, UpstreamLimits limits, AttemptCallbacks& callbacks)
     : limits_(limits),
       callbacks_(callbacks),
+      buffer_budget_(limits.max_buffered_bytes),
       pool_(loop, pool_policy(limits),
             [this](upstream::HostConnections& host, event::Fd fd) {
                 return std::make_unique<UpstreamConnection>(context_, host, std::move(fd));
             }),
-      context_{loop, limits_, callbacks, pool_, attempts_, counters_, buffered_bytes_} {}
+      context_{loop, limits_, callbacks, pool_, attempts_, counters_, buffer_budget_} {}
 
 void Upstream::send(const core::AttemptKey& key, const std::string& host,
                     std::shared_ptr<const platform::UpstreamCommand> command) {
--- a/src/upstream/resp/upstream.h
+++ b/src/upstream/resp/upstream.h
@@ -50,7 +50,7 @@
     const UpstreamLimits limits_;
     AttemptCallbacks& callbacks_;
     ResponseCounters counters_;
-    std::size_t buffered_bytes_ = 0;
+    event::BufferBudget buffer_budget_;
     AttemptTable attempts_;
     upstream::ConnectionPool pool_;
     ConnectionContext context_;
--- a/src/upstream/resp/upstream_connection.cpp
+++ b/src/upstream/resp/upstream_connection.cpp
@@ -28,7 +28,7 @@
                                        event::Fd fd)
     : PooledConnection(context.loop, context.pool, host, std::move(fd)),
       context_(context),
-      reader_(context.buffered_bytes) {}
+      reader_(context.buffer_budget) {}
 
 // ---- request ----
 
@@ -83,8 +83,7 @@
 }
 
 void UpstreamConnection::on_incomplete_reply(bool first_bytes) {
-    if (context_.buffered_bytes > context_.limits.max_buffered_bytes &&
-        reader_.buffered() > guaranteed_reply_bytes)
+    if (context_.buffer_budget.exceeded() && reader_.buffered() > guaranteed_reply_bytes)
         return fail_malformed();
     if (first_bytes) start_stall_timer(stall_timeout);
 }
--- a/src/upstream/resp/upstream_connection.h
+++ b/src/upstream/resp/upstream_connection.h
@@ -35,7 +35,7 @@
     upstream::ConnectionPool& pool;
     AttemptTable& attempts;
     ResponseCounters& counters;
-    std::size_t& buffered_bytes;  // of incomplete replies
+    event::BufferBudget& buffer_budget;  // of incomplete replies
 };
 
 class UpstreamConnection : public upstream::PooledConnection {
