RESP front end: the largest unfinished command pays when the buffers are full

What callers saw: while bad clients left half commands, a usual request that came in pieces was answered 'too much in hand', its connection was ended, and the requests behind it got no answer.

Cause: when the budget was exceeded, read_commands ended whichever connection read next. And fail() left the input of a connection with pending responses reserved although it is never parsed.

Fix: the connection that buffers most of an unfinished command is ended until the budget is kept (ConnectionManager ::drop_largest_unfinished); one whose commands are complete and wait is never chosen. fail() drops its input at once.

--- a/src/frontend/common/client_connection.h
+++ b/src/frontend/common/client_connection.h
@@ -55,6 +55,10 @@
     // received bytes have been read. Costs a system call.
     virtual bool is_quiescent() const { return false; }
     virtual void evict() {}
+    // Returns the bytes of an unfinished message that can be dropped by ending the connection with
+    // an error. 0: there are none.
+    virtual std::size_t droppable_bytes() const { return 0; }
+    virtual void drop_unfinished() {}
     // Called for the connection that has lingered longest when too many are lingering.
     virtual void abort_lingering() {}
 
--- a/src/frontend/common/connection_manager.cpp
+++ b/src/frontend/common/connection_manager.cpp
@@ -74,6 +74,19 @@
     (longest ? *longest : connection).abort_lingering();
 }
 
+bool ConnectionManager::drop_largest_unfinished() {
+    ClientConnection* largest = nullptr;
+    std::size_t largest_bytes = 0;
+    for (const auto& connection : connections_) {
+        const std::size_t bytes = connection->droppable_bytes();
+        if (bytes <= largest_bytes) continue;
+        largest = connection.get();
+        largest_bytes = bytes;
+    }
+    if (largest) largest->drop_unfinished();
+    return largest != nullptr;
+}
+
 void ConnectionManager::remove(ClientConnection& connection) {
     const std::size_t slot = connection.slot_;
     if (connection.is_lingering()) --lingering_;
--- a/src/frontend/common/connection_manager.h
+++ b/src/frontend/common/connection_manager.h
@@ -80,6 +80,9 @@
 
     // ---- for connections only ----
     void on_lingering(ClientConnection& connection);
+    // Ends the connection that buffers most of an unfinished message, to free its bytes. Returns
+    // false if no connection has bytes that can be dropped.
+    bool drop_largest_unfinished();
     // Removes the connection from the list and destroys it in the loop's next turn, because one of
     // its functions may still be running.
     void remove(ClientConnection& connection);
--- a/src/frontend/resp/resp_connection.cpp
+++ b/src/frontend/resp/resp_connection.cpp
@@ -75,17 +75,14 @@
     // A malformed frame with no response pending before it makes the connection linger at once.
     if (state_ == State::closed || state_ == State::lingering) return;
     consume_input(consumed);
-    update_buffer_budget();
     flush();
     if (state_ == State::closed) return;
     // flush may have removed the reason for stopping, and no other event would resume reading.
     const bool resume_later = result == ReadResult::turn_limit_reached ||
                               (result == ReadResult::no_capacity && !must_defer_commands());
-    const bool incomplete = !resume_later && !must_defer_commands();
-    if (incomplete && context_.buffer_budget.exceeded() && input_.size() > guaranteed_input_bytes) {
-        ++context_.counters.buffer_limit_reached;
-        return fail("too much in hand");
-    }
+    has_unfinished_command_ = result == ReadResult::incomplete && !input_.empty();
+    enforce_buffer_budget();
+    if (state_ == State::closed || state_ == State::lingering) return;
     update_reading();
     if (resume_later) call_later(0us, [this] { resume(); });
 }
@@ -120,13 +117,35 @@
     input_.erase(0, consumed);
     arrivals().consume(consumed);
     // The bytes after a malformed frame cannot be parsed as commands.
-    if (state_ != State::open) input_.clear();
-    if (input_.empty()) arrivals().consume_all();
-    if (input_.empty() && input_.capacity() > idle_input_capacity) input_.shrink_to_fit();
-    if (input_.empty())
-        incomplete_since_ = 0us;
-    else if (consumed > 0 || incomplete_since_ == 0us)
-        incomplete_since_ = loop().now();
+    if (input_.empty() || state_ != State::open) return drop_input();
+    update_buffer_budget();
+    if (consumed > 0 || incomplete_since_ == 0us) incomplete_since_ = loop().now();
+}
+
+void RespConnection::drop_input() {
+    input_.clear();
+    if (input_.capacity() > idle_input_capacity) input_.shrink_to_fit();
+    update_buffer_budget();
+    arrivals().consume_all();
+    incomplete_since_ = 0us;
+}
+
+// Ends the connections with most of an unfinished command until the budget is kept. Commands that
+// are complete are never dropped.
+void RespConnection::enforce_buffer_budget() {
+    while (context_.buffer_budget.exceeded() && manager().drop_largest_unfinished()) {
+    }
+}
+
+std::size_t RespConnection::droppable_bytes() const {
+    const bool input_in_use = reading_commands_;
+    if (state_ != State::open || input_in_use || !has_unfinished_command_) return 0;
+    return input_.size() > guaranteed_input_bytes ? input_.size() : 0;
+}
+
+void RespConnection::drop_unfinished() {
+    ++context_.counters.buffer_limit_reached;
+    fail("too much in hand");
 }
 
 bool RespConnection::must_defer_commands() const {
@@ -313,6 +332,7 @@
     // The responses to earlier commands are sent first.
     responses_.add_ready("-ERR Protocol error: " + std::string(reason) + "\r\n");
     state_ = State::failing;
+    if (!reading_commands_) drop_input();
     flush();
 }
 
@@ -322,9 +342,7 @@
     report_close(reason);
     start_wait(loop().now());
     unread_since_ = 0us;
-    input_.clear();
-    input_.shrink_to_fit();
-    update_buffer_budget();
+    drop_input();
     start_lingering_close();
 }
 
--- a/src/frontend/resp/resp_connection.h
+++ b/src/frontend/resp/resp_connection.h
@@ -33,6 +33,8 @@
     bool is_quiescent() const override;
     void evict() override { linger(CloseReason::evicted); }
     void abort_lingering() override { close(CloseReason::linger_crowded); }
+    std::size_t droppable_bytes() const override;
+    void drop_unfinished() override;
 
     void on_data(std::string_view bytes) override;
     void on_end() override { close(CloseReason::client_ended); }
@@ -60,6 +62,8 @@
     void read_commands();
     ReadResult read_batch(std::size_t& consumed);
     void consume_input(std::size_t consumed);
+    void drop_input();
+    void enforce_buffer_budget();
     void handle_command(const std::vector<std::string_view>& arguments, Micros waited);
     void start_request(const std::vector<std::string_view>& arguments, Micros waited);
     void reject_command(std::string_view reason);
@@ -85,6 +89,8 @@
     ResponseQueue responses_;
     InvalidCommandThrottle throttle_;
     bool throttled_ = false;
+    bool has_unfinished_command_ =
+        false;                       // input_ holds the beginning of one command, nothing else
     bool reading_commands_ = false;  // keeps on_response from re-entering read_commands
     std::uint64_t commands_ = 0;
     Micros opened_at_;
--- a/tests/node/read_buffer_test.cpp
+++ b/tests/node/read_buffer_test.cpp
@@ -12,7 +12,10 @@
 constexpr int repetitions = 3;
 constexpr std::size_t malformed_bytes = 60'000;
 constexpr std::size_t long_body_bytes = 30'000;
-constexpr std::size_t first_piece_bytes = 10'000;  // more than a connection may always buffer
+// More than a connection may always buffer, and more than four unfinished commands leave of the
+// budget of memory_for_four_mb.
+constexpr std::size_t first_piece_bytes = 25'000;
+constexpr int memory_for_four_mb = 4;
 
 std::string malformed_frame() {
     return std::string(malformed_bytes, '#');
@@ -21,8 +24,8 @@
     return "*1\r\n$4\r\nPING\r\n";
 }
 // A command of which the last bytes are missing.
-std::string unfinished_command() {
-    const std::string command = submit(1, std::string(malformed_bytes, 's'));
+std::string unfinished_command(std::size_t body_bytes = malformed_bytes) {
+    const std::string command = submit(1, std::string(body_bytes, 's'));
     return command.substr(0, command.size() - 100);
 }
 void send_and_wait_for_end(TestNode& node, const std::string& bytes) {
@@ -85,3 +88,41 @@
             expect_bytes_are_returned_after(
                 [&](TestNode& node) { send_and_leave(node, bytes, with_reset); });
 }
+
+// Guards against unfinished commands of bad clients that cost another client its requests: they
+// filled the buffers, and the connection of a long request that came in pieces was ended.
+TEST(ReadBuffer, UnfinishedCommandsOfBadClientsDoNotCostAnotherClientItsRequests) {
+    TestNode node({.memory_mb = memory_for_four_mb});
+    std::vector<std::unique_ptr<Client>> bad_clients;
+    for (int i = 0; i < 4; ++i) {
+        bad_clients.push_back(node.connect());
+        bad_clients.back()->stream.write(unfinished_command());
+        node.run_for(10ms);
+    }
+    expect_long_request_is_served(node);
+    for (auto& client : bad_clients)
+        EXPECT_TRUE(node.run_until([&] { return client->is_closed(); }, 3s));
+}
+
+// Guards against bytes of a failed connection that stay reserved while its responses are pending.
+TEST(ReadBuffer, AFailedConnectionReturnsItsBytesBeforeItsResponsesAreSent) {
+    TestNode node({.memory_mb = memory_for_four_mb});
+    constexpr std::uint64_t slow_id = 10;
+    node.hosts[0]->respond = [&](ScriptedServer::Peer& peer, const Arguments& arguments) {
+        node.loop.after(
+            arguments[2] == hex(slow_id) ? 1000ms : 0ms,
+            [&peer, value = "for " + arguments[2]] { peer.stream.write(host_response(value)); });
+    };
+    std::vector<std::unique_ptr<Client>> bad_clients;
+    for (int i = 0; i < 4; ++i) {
+        bad_clients.push_back(node.connect());
+        bad_clients.back()->stream.write(i == 0 ? query(slow_id) + unfinished_command(64'000)
+                                                : unfinished_command());
+        node.run_for(10ms);
+    }
+    expect_long_request_is_served(node);
+    Client& failed = *bad_clients[0];
+    EXPECT_TRUE(node.run_until([&] { return failed.is_closed(); }, 3s));
+    EXPECT_EQ(failed.received,
+              bulk("for " + hex(slow_id)) + "-ERR Protocol error: too much in hand\r\n");
+}
