Upstream: a connection rests 20 ms before its reuse, so a late copy is not served

Cause: responses have no ids, and the pool reused a connection in the moment in which a response was complete. A copy that was still on its way counted as the response to the next request, and the connection stayed one behind. The HTTP pool did not even look for unread input.

Fix: ReuseRule, without I/O, chooses the most recent connection that has rested for 20 ms; bytes during the rest close the connection. Both pools check a connection on reuse by the same code now.

Tests that reuse a connection at once now wait for the rest, with the same assertions.

--- a/src/upstream/common/connection_pool.cpp
+++ b/src/upstream/common/connection_pool.cpp
@@ -39,7 +39,11 @@
 }
 
 ConnectionPool::ConnectionPool(event::Loop& loop, PoolPolicy policy, Factory factory)
-    : loop_(loop), policy_(policy), factory_(std::move(factory)), retired_(loop) {
+    : loop_(loop),
+      policy_(policy),
+      reuse_rule_(policy.reuse),
+      factory_(std::move(factory)),
+      retired_(loop) {
     sweep();
 }
 
@@ -80,22 +84,18 @@
     const std::string& host, const ExchangeTraits& traits) {
     HostConnections* connections = find_host(host);
     if (!connections) return AcquireError::unknown_host;
-    if (PooledConnection* idle = take_idle(*connections, traits.idempotent)) return idle;
+    if (PooledConnection* idle = take_idle(*connections, traits)) return idle;
     if (!connections->address) return AcquireError::unknown_host;
     if (!traits.health_check && connections->in_use.size() >= policy_.max_in_use_per_host)
         return AcquireError::host_limit_reached;
     return open_connection(*connections);
 }
 
-// A host may close an idle connection while a request is being written to it. The request may then
-// have run, so only an idempotent request can be retried.
-PooledConnection* ConnectionPool::take_idle(HostConnections& host, bool idempotent) {
-    while (!host.idle.empty()) {
-        const Micros idle_time = loop_.now() - host.idle.back()->unused_since();
-        if (!idempotent && idle_time >= policy_.non_idempotent_reuse_limit) return nullptr;
-        auto connection = std::move(host.idle.back());
-        host.idle.pop_back();
-        if (policy_.verify_before_reuse && !is_usable(*connection, host)) {
+PooledConnection* ConnectionPool::take_idle(HostConnections& host, const ExchangeTraits& traits) {
+    while (const auto index = choose_idle(host, traits)) {
+        const auto position = host.idle.begin() + static_cast<std::ptrdiff_t>(*index);
+        auto connection = extract_ordered(host.idle, position);
+        if (!is_usable(*connection, host)) {
             ++cumulative_stats_.stale;
             retire(std::move(connection));
             continue;
@@ -107,6 +107,17 @@
     return nullptr;
 }
 
+std::optional<std::size_t> ConnectionPool::choose_idle(const HostConnections& host,
+                                                       const ExchangeTraits& traits) const {
+    const auto idle_at = [&host](std::size_t index) {
+        const PooledConnection& connection = *host.idle[index];
+        return IdleConnection{connection.unused_since(), connection.exchange_ended_at()};
+    };
+    const bool may_open =
+        traits.health_check || host.in_use.size() + host.idle.size() < policy_.max_in_use_per_host;
+    return reuse_rule_.choose(host.idle.size(), idle_at, traits.idempotent, may_open, loop_.now());
+}
+
 bool ConnectionPool::is_usable(const PooledConnection& connection,
                                const HostConnections& host) const {
     return loop_.now() - connection.unused_since() < policy_.idle_timeout &&
--- a/src/upstream/common/connection_pool.h
+++ b/src/upstream/common/connection_pool.h
@@ -104,7 +104,9 @@
 
   private:
     HostConnections* find_host(const std::string& host) const;
-    PooledConnection* take_idle(HostConnections& host, bool idempotent);
+    PooledConnection* take_idle(HostConnections& host, const ExchangeTraits& traits);
+    std::optional<std::size_t> choose_idle(const HostConnections& host,
+                                           const ExchangeTraits& traits) const;
     bool is_usable(const PooledConnection& connection, const HostConnections& host) const;
     std::variant<PooledConnection*, AcquireError> open_connection(HostConnections& host);
     event::Fd connect(const config::Endpoint& address, int& error);
@@ -116,6 +118,7 @@
 
     event::Loop& loop_;
     PoolPolicy policy_;
+    ReuseRule reuse_rule_;
     Factory factory_;
     std::unordered_map<std::string, std::unique_ptr<HostConnections>> hosts_;
     event::DeferredDeletion<PooledConnection> retired_;
--- a/src/upstream/common/pool_policy.h
+++ b/src/upstream/common/pool_policy.h
@@ -6,6 +6,7 @@
 #include <limits>
 
 #include "silverreach/interface.h"
+#include "upstream/common/reuse_rule.h"
 
 namespace silverreach::upstream {
 
@@ -21,20 +22,13 @@
     // Evicts an unused connection if the system has no descriptor for a new one. Set for RESP, as
     // the RESP gateway runs close to its descriptor limit by design.
     bool evict_on_descriptor_shortage = false;
-    // Discards an idle connection on reuse if it has reached the idle timeout, was opened to an
-    // earlier address of its host, or has unread input. Needed for RESP, whose hosts move between
-    // addresses. An HTTP host is identified by its address, and a reset of its connection counts as
-    // a reset of the attempt.
-    bool verify_before_reuse = false;
     // Maximum unused connections kept per host while their handshake is in progress. 0 for HTTP,
     // where an attempt that ends during the handshake closes its connection.
     std::size_t max_pending_per_host = 0;
 
     Micros idle_timeout{0};     // after which an idle connection is closed
     Micros pending_timeout{0};  // after which an unused connection that is connecting is closed
-    // Idle time after which only idempotent requests reuse a connection, because its host may be
-    // closing it. `Micros::max()`: no limit.
-    Micros non_idempotent_reuse_limit = Micros::max();
+    ReuseSettings reuse;
     Micros sweep_interval{0};  // time between checks of the two timeouts
 };
 
--- a/src/upstream/common/pooled_connection.cpp
+++ b/src/upstream/common/pooled_connection.cpp
@@ -33,6 +33,7 @@
 
 void PooledConnection::end_exchange() {
     ++exchange_id_;
+    if (request_written()) exchange_ended_at_ = loop_.now();
     state_ = is_connected() ? State::idle : State::pending;
 }
 
--- a/src/upstream/common/pooled_connection.h
+++ b/src/upstream/common/pooled_connection.h
@@ -61,6 +61,8 @@
 
     Micros unused_since() const { return unused_since_; }  // loop time
     void set_unused_since(Micros now) { unused_since_ = now; }
+    // Loop time at which the last exchange ended whose request was written; none: there was none.
+    std::optional<Micros> exchange_ended_at() const { return exchange_ended_at_; }
     void retire();  // closes the socket immediately
 
     void on_connected() final;
@@ -112,6 +114,7 @@
     std::uint64_t exchange_id_ = 0;
     Micros exchange_started_{0};
     Micros unused_since_{0};
+    std::optional<Micros> exchange_ended_at_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/upstream/http/upstream.cpp
+++ b/src/upstream/http/upstream.cpp
@@ -9,11 +9,16 @@
 namespace {
 using namespace std::chrono_literals;
 
+constexpr Micros reuse_rest = 20ms;  // hosts may send a second response some milliseconds late
+constexpr std::size_t max_resting_per_host = 8;
+
 upstream::PoolPolicy pool_policy(const config::Config& config) {
     upstream::PoolPolicy policy;
     policy.max_in_use_per_host = static_cast<std::size_t>(config.hosts().max_connections());
     policy.idle_timeout = std::chrono::milliseconds(config.hosts().idle_ms());
     policy.sweep_interval = 1s;
+    policy.reuse.rest = reuse_rest;
+    policy.reuse.max_resting = max_resting_per_host;
     return policy;
 }
 }  // namespace
--- a/src/upstream/resp/upstream.cpp
+++ b/src/upstream/resp/upstream.cpp
@@ -19,11 +19,11 @@
     upstream::PoolPolicy policy;
     policy.max_connections = limits.max_connections;
     policy.evict_on_descriptor_shortage = true;
-    policy.verify_before_reuse = true;
     policy.max_pending_per_host = max_pending_per_host;
     policy.idle_timeout = limits.idle_timeout;
     policy.pending_timeout = pending_timeout;
-    policy.non_idempotent_reuse_limit = limits.non_idempotent_reuse_limit;
+    policy.reuse.rest = limits.reuse_rest;
+    policy.reuse.non_idempotent_limit = limits.non_idempotent_reuse_limit;
     policy.sweep_interval = sweep_interval;
     return policy;
 }
--- a/tests/gateway/host_test.cpp
+++ b/tests/gateway/host_test.cpp
@@ -13,6 +13,9 @@
     return "POST " + path + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n" + fields +
            "Content-Length: 3\r\n\r\nabc";
 }
+// Longer than a connection to a host rests between two exchanges.
+constexpr auto connection_rest = 25ms;
+constexpr auto work_time = 10ms;  // of a host, longer than a late response is late
 }  // namespace
 
 TEST(Hosts, ARejectionIsRetriedOnAnotherHostAndAPlain503IsNot) {
@@ -96,6 +99,7 @@
 TEST(Hosts, AResetOnAReusedConnectionIsNotRetriedIfNotIdempotent) {
     TestGateway gateway;
     ASSERT_EQ(status(gateway.exchange(post_request("/a"))), 200);
+    gateway.run_for(connection_rest);
     gateway.hosts[0]->respond = [](ScriptedHost::Peer& peer, const std::string&) {
         peer.stream.reset();
     };
@@ -123,6 +127,26 @@
     EXPECT_EQ(gateway.hosts[0]->peers.size(), 2u);
 }
 
+// Guards against a second response that arrives late and is taken for the next request's response,
+// so that a client is served the body of another.
+TEST(Hosts, ASecondResponseThatArrivesLateIsNotTheNextResponse) {
+    TestGateway gateway;
+    gateway.hosts[0]->respond = [&](ScriptedHost::Peer& peer, const std::string& request) {
+        const std::string path = request.substr(0, request.find(" HTTP"));
+        const auto respond = [&peer, path] {
+            peer.stream.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(path.size()) +
+                              "\r\n\r\n" + path);
+        };
+        gateway.loop.after(work_time, respond);
+        gateway.loop.after(work_time + 5ms, respond);
+    };
+    for (int i = 0; i < 20; ++i) {
+        const std::string path = "/a/" + std::to_string(i);
+        const std::string response = gateway.exchange(TestGateway::get_request(path));
+        EXPECT_TRUE(response.ends_with("\r\n\r\nGET " + path)) << response;
+    }
+}
+
 TEST(Hosts, AnEarlyResponseIsForwardedBeforeTheBodyIsSent) {
     Options options;
     options.listen_fields = "max_body_bytes: 33554432";
--- a/tests/upstream/common/connection_pool_test.cpp
+++ b/tests/upstream/common/connection_pool_test.cpp
@@ -165,7 +165,7 @@
 }
 
 TEST_F(ConnectionPoolTest, NonIdempotentRequestsReuseOnlyRecentConnections) {
-    policy.non_idempotent_reuse_limit = 20ms;
+    policy.reuse.non_idempotent_limit = 20ms;
     start();
     FakeConnection* rested = begin("a");
     end(rested);
@@ -174,6 +174,40 @@
     EXPECT_EQ(acquire("a"), rested);
 }
 
+TEST_F(ConnectionPoolTest, AConnectionIsReusedOnlyAfterItsRest) {
+    policy.reuse.rest = 20ms;
+    start();
+    FakeConnection* first = begin("a");
+    end(first);
+    FakeConnection* second = acquire("a");
+    EXPECT_NE(second, first);
+    run_for(30ms);
+    EXPECT_EQ(acquire("a"), first);
+}
+
+TEST_F(ConnectionPoolTest, BytesDuringTheRestCloseTheConnection) {
+    policy.reuse.rest = 20ms;
+    start();
+    end(begin("a"));
+    ASSERT_TRUE(run_until([&] { return host.accepted.size() == 1; }));
+    ASSERT_EQ(::write(host.accepted[0].get(), "x", 1), 1);
+    EXPECT_TRUE(run_until([&] { return pool->stats().open == 0; }, 1s));
+    EXPECT_EQ(pool->stats().unsolicited, 1u);
+}
+
+TEST_F(ConnectionPoolTest, RestingConnectionsCountTowardsTheHostLimit) {
+    policy.reuse.rest = 10s;
+    policy.max_in_use_per_host = 2;
+    start();
+    FakeConnection* first = begin("a");
+    FakeConnection* second = begin("a");
+    end(first);
+    end(second);
+    EXPECT_EQ(acquire("a"), first) << "the one that has rested longest";
+    EXPECT_EQ(acquire("a"), second);
+    EXPECT_EQ(pool->stats().opened, 2u);
+}
+
 TEST_F(ConnectionPoolTest, ConnectionsClosedByTheirHostAreDropped) {
     start();
     end(begin("a"));
