HTTP front end: counts tell the connections ended with bytes of a response unsent

The counts line gets unsent: client connections ended at a timeout while bytes of a response were still queued here. Hypotheses: (1) a timeout of the gateway closes over its queue, (2) the host's response broke off, (3) the deadline aborted it.

--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -178,6 +178,7 @@
                           {"attempts", to_int64(counters.attempts)},
                           {"held", to_int64(core_->in_flight())},
                           {"clients", to_int64(frontend_->connections())},
+                          {"unsent", to_int64(frontend_->closed_with_unsent_bytes())},
                           {"host_connections", to_int64(upstream_stats.open)},
                           {"opened", to_int64(upstream_stats.opened)},
                           {"reused", to_int64(upstream_stats.reused)}};
--- a/src/frontend/http/frontend.h
+++ b/src/frontend/http/frontend.h
@@ -29,6 +29,7 @@
     // a client has sent bytes that have not been read.
     bool has_unfinished_work() const;
     std::size_t connections() const { return connections_.size(); }
+    std::uint64_t closed_with_unsent_bytes() const { return context_.closed_with_unsent_bytes; }
     std::size_t in_flight() const { return context_.in_flight.size(); }
 
     // ---- requests; an id that is not in flight is ignored ----
--- a/src/frontend/http/frontend_context.h
+++ b/src/frontend/http/frontend_context.h
@@ -61,6 +61,7 @@
     event::SystemRandom random = {};  // for request and trace ids
     DateCache date_cache = {};
     std::unordered_map<RequestId, HttpConnection*> in_flight = {};
+    std::uint64_t closed_with_unsent_bytes = 0;  // connections, at a timeout
 };
 
 }  // namespace silverreach::frontend::http
--- a/src/frontend/http/http_connection.cpp
+++ b/src/frontend/http/http_connection.cpp
@@ -304,6 +304,8 @@
 }
 
 bool HttpConnection::on_wait_expired(Wait wait) {
+    if (wait != Wait::message_completion && stream().queued_bytes() > 0)
+        ++context_.closed_with_unsent_bytes;
     switch (wait) {
         case Wait::client_close:
         case Wait::idle:
