HTTP front end: a response that is still queued is not cut at the end of its connection

Cause: the lingering state waited 1 s from the moment in which the response was complete in the gateway and then closed, with bytes still queued; Stream::close discards them and the system ends the connection in order. The idle time of a kept connection did the same. And a client that read steadily was reset once its queue had not been empty for stalled_ms.

Fix: the waits for the client's end and its next request begin when everything is sent; while bytes are queued only stalled_ms counts, from the last progress of the queue, and ends with a reset. As the system takes bytes in steps of up to megabytes, progress also is what the client has acknowledged (SIOCOUTQ, asked at the checks of the HTTP front end only).

--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -1,8 +1,10 @@
 #include "event/stream.h"
 
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <sys/uio.h>
 #include <unistd.h>
@@ -84,11 +86,16 @@
         // called from within the owner's call of write().
         done = count > 0 ? static_cast<std::size_t>(count) : 0;
     }
+    const bool was_empty = queued_bytes() == 0;
     for (const std::string_view piece : pieces) {
         const std::size_t sent = std::min(done, piece.size());
         done -= sent;
         output_.append(piece.substr(sent));
     }
+    if (was_empty) {
+        queue_progress_at_ = loop_.now();
+        unacknowledged_bytes_.reset();
+    }
     update_interest();
 }
 
@@ -143,6 +150,7 @@
     if (count < 0 && is_transient(errno)) return;
     if (count < 0) return fail(errno);
     sent_bytes_ += static_cast<std::size_t>(count);
+    queue_progress_at_ = loop_.now();
     if (queued_bytes() > 0) {
         if (sent_bytes_ > max_read_bytes) output_.erase(0, std::exchange(sent_bytes_, 0));
         return;
@@ -154,6 +162,14 @@
     owner_.on_drained();
 }
 
+void Stream::update_queue_progress() {
+    int unacknowledged_bytes = 0;
+    if (closed() || queued_bytes() == 0) return;
+    if (::ioctl(fd_.get(), SIOCOUTQ, &unacknowledged_bytes) != 0) return;
+    const auto previous_bytes = std::exchange(unacknowledged_bytes_, unacknowledged_bytes);
+    if (!previous_bytes || unacknowledged_bytes < *previous_bytes) queue_progress_at_ = loop_.now();
+}
+
 void Stream::fail(int error) {
     close();
     owner_.on_error(error);
--- a/src/event/stream.h
+++ b/src/event/stream.h
@@ -3,6 +3,7 @@
 
 #include <initializer_list>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -40,6 +41,13 @@
     // As above for several pieces, which are passed to one system call; at most four.
     void write(std::initializer_list<std::string_view> pieces);
     std::size_t queued_bytes() const { return output_.size() - sent_bytes_; }  // bytes
+    // The time of the last progress of the queue, on the loop's clock: it became non-empty, or the
+    // system accepted bytes of it, or the peer acknowledged bytes.
+    Micros queue_progress_at() const { return queue_progress_at_; }
+    // Detects what the peer has acknowledged since the last call; the first call for a queue counts
+    // as progress. The system accepts bytes of the queue in steps of up to megabytes; between two
+    // of them this is the only sign of progress.
+    void update_queue_progress();
     // Back pressure: while `enabled` is false, nothing is read from the socket.
     void set_reading(bool enabled);
     // Valid in on_data: the earliest time at which its bytes may have arrived, on the loop's clock.
@@ -71,6 +79,10 @@
     std::unique_ptr<IoWatcher> watcher_;
     std::string output_;
     std::size_t sent_bytes_ = 0;  // number of bytes of output_ that have been sent
+    Micros queue_progress_at_{0};
+    // Of the bytes that the system accepted, at the last update; none: no update since the queue
+    // became non-empty.
+    std::optional<int> unacknowledged_bytes_;
     bool connecting_;
     bool reading_ = true;
     bool end_requested_ = false;  // end() was called
--- a/src/frontend/http/http_connection.cpp
+++ b/src/frontend/http/http_connection.cpp
@@ -150,7 +150,6 @@
     if (state_ != State::awaiting_response) return;
     ClientRequest& request = *request_;
     state_ = State::streaming_response;
-    last_progress_ = loop().now();
     request.response_status = head.status;
     request.client.date = context_.date_cache.current_text();
     if (is_last_response()) request.client.keep_alive = false;
@@ -166,8 +165,8 @@
 }
 
 void HttpConnection::on_drained() {
-    last_progress_ = loop().now();
-    if (state_ == State::streaming_response) request_->response.on_drained();
+    if (state_ == State::streaming_response) return request_->response.on_drained();
+    if (state_ == State::lingering && half_closed_) close();
 }
 
 void HttpConnection::end_response(const wire::Fields& trailers) {
@@ -196,8 +195,7 @@
     const bool keep_alive = request_->client.keep_alive && !half_closed_;
     context_.in_flight.erase(request_->id);
     request_.reset();
-    last_progress_ = loop().now();
-    start_wait(last_progress_);
+    start_wait(loop().now());
     if (!keep_alive) return linger();
     state_ = State::reading_head;
     parser_.reset();
@@ -280,22 +278,24 @@
 
 std::optional<ClientConnection::PendingWait> HttpConnection::pending_wait(Wait wait) const {
     const config::Listen& listen = context_.config.listen();
+    const bool all_sent = stream().queued_bytes() == 0;
+    // The client can close its side, or send its next request, once everything has been sent.
+    const Micros client_turn_at = std::max(wait_started(), stream().queue_progress_at());
     switch (wait) {
         case Wait::client_close:
-            if (state_ != State::lingering) return std::nullopt;
-            return PendingWait{wait_started(), linger_timeout};
+            if (state_ != State::lingering || !all_sent) return std::nullopt;
+            return PendingWait{client_turn_at, linger_timeout};
         case Wait::idle:
-            if (!is_reading() || is_receiving()) return std::nullopt;
-            return PendingWait{wait_started(), milliseconds(listen.idle_ms())};
+            if (!is_reading() || is_receiving() || !all_sent) return std::nullopt;
+            return PendingWait{client_turn_at, milliseconds(listen.idle_ms())};
         case Wait::message_completion:
             if (!is_receiving()) return std::nullopt;
             return PendingWait{
                 wait_started(),
                 milliseconds(state_ == State::reading_body ? listen.body_ms() : listen.head_ms())};
         case Wait::response_read:
-            if (state_ != State::streaming_response || stream().queued_bytes() == 0)
-                return std::nullopt;
-            return PendingWait{last_progress_, milliseconds(listen.stalled_ms())};
+            if (all_sent) return std::nullopt;
+            return PendingWait{stream().queue_progress_at(), milliseconds(listen.stalled_ms())};
         case Wait::first_message:  // covered by the idle timeout
         case Wait::drain:          // the last response closes the connection
             return std::nullopt;
@@ -304,8 +304,6 @@
 }
 
 bool HttpConnection::on_wait_expired(Wait wait) {
-    if (wait != Wait::message_completion && stream().queued_bytes() > 0)
-        ++context_.closed_with_unsent_bytes;
     switch (wait) {
         case Wait::client_close:
         case Wait::idle:
@@ -316,6 +314,8 @@
                                                          : "the head did not come in time"});
             return true;
         case Wait::response_read:
+            // A reset, because an end in order could look like the end of a complete response.
+            ++context_.closed_with_unsent_bytes;
             abandon_request();
             stream().reset();
             close();
@@ -329,6 +329,7 @@
 
 // Checks less often while idle, so that ten thousand idle clients cost little.
 void HttpConnection::check_timeouts_periodically() {
+    stream().update_queue_progress();
     check_timeouts();
     if (state_ == State::closed) return;
     const config::Listen& listen = context_.config.listen();
--- a/src/frontend/http/http_connection.h
+++ b/src/frontend/http/http_connection.h
@@ -52,7 +52,7 @@
         reading_body,
         awaiting_response,
         streaming_response,
-        lingering,  // the last response is written; further input is discarded
+        lingering,  // the last response is sent, or queued; further input is discarded
         abandoned,  // the client has disconnected; its request is being cancelled
         closed
     };
@@ -92,7 +92,6 @@
     std::string client_address_;
     State state_ = State::reading_head;
     std::string pending_input_;  // bytes of later requests
-    Micros last_progress_{0};    // when the client last read response bytes
     bool half_closed_ = false;   // by the client
     // Allocated separately so that an idle connection stays small.
     std::unique_ptr<ClientRequest> request_;
