File watches: a change that could not be read is tried again until it can

Cause: FileWatch remembers the file's stamp before the reader has read it. Opening fails with EMFILE, and as the file does not change again, nothing tries again.

Fix: the reader reports to FileWatch whether it could read; after a failure it is called again with a backoff of 0.1 to 2 s until it can. The registry and the host list both do. A reason is logged once, not at each try.

--- a/src/discovery/file_discovery.cpp
+++ b/src/discovery/file_discovery.cpp
@@ -2,6 +2,7 @@
 
 #include <fstream>
 #include <sstream>
+#include <utility>
 
 namespace silverreach::discovery {
 namespace {
@@ -19,12 +20,20 @@
 
 void FileDiscovery::read_file() {
     std::ifstream in(path_, std::ios::binary);
-    if (!in)
-        return updater_.report_unavailable({DiscoveryErrorCode::unreadable_file, path_,
-                                            "cannot be read; the last valid list stays in use"});
+    if (!in) return on_unreadable();
     std::ostringstream text;
     text << in.rdbuf();
+    if (in.bad() || text.bad()) return on_unreadable();
+    is_unreadable_ = false;
+    file_watch_.report(event::FileWatch::ReadResult::complete);
     updater_.update(text.str(), path_);
 }
 
+void FileDiscovery::on_unreadable() {
+    file_watch_.report(event::FileWatch::ReadResult::failed);
+    if (std::exchange(is_unreadable_, true)) return;
+    updater_.report_unavailable({DiscoveryErrorCode::unreadable_file, path_,
+                                 "cannot be read; the last valid list stays in use"});
+}
+
 }  // namespace silverreach::discovery
--- a/src/discovery/file_discovery.h
+++ b/src/discovery/file_discovery.h
@@ -1,4 +1,5 @@
-// Reads the endpoint list from a file, and reads it again whenever the file changes.
+// Reads the endpoint list from a file, and reads it again whenever the file changes. A change that
+// cannot be read is tried again until it can.
 #pragma once
 
 #include <string>
@@ -17,9 +18,11 @@
 
   private:
     void read_file();
+    void on_unreadable();
 
     std::string path_;
     EndpointListUpdater updater_;
+    bool is_unreadable_ = false;  // reported, and not read since
     event::FileWatch file_watch_;
 };
 
--- a/src/event/file_watch.h
+++ b/src/event/file_watch.h
@@ -1,4 +1,7 @@
-// Polls a file for changes.
+// Polls a file for changes, and has a change that could not be read tried again.
+//
+// States:   watching ──change──> reading ──complete──> watching
+//           reading ──failed──> waiting ──backoff is over, or change──> reading
 #pragma once
 
 #include <cstdint>
@@ -15,10 +18,17 @@
 // times in whole seconds.
 class FileWatch {
   public:
+    enum class ReadResult {
+        complete,  // also if the content is invalid: reading it again would not change that
+        failed     // for want of a descriptor or memory, for example
+    };
     // Checks `path` every `period`. `on_change` may destroy the FileWatch.
     FileWatch(Loop& loop, std::string path, Micros period, std::function<void()> on_change);
     FileWatch(const FileWatch&) = delete;
     FileWatch& operator=(const FileWatch&) = delete;
+    // Reports the result of reading the file, in on_change or later. After a failure on_change is
+    // called again with a backoff of 0.1 to 2 s until the file has been read.
+    void report(ReadResult result);
 
   private:
     struct FileStamp {
@@ -35,6 +45,8 @@
     Micros period_;
     std::function<void()> on_change_;
     FileStamp last_stamp_;
+    Micros backoff_{0};   // of the last failure; 0: the last result was complete
+    Micros retry_at_{0};  // 0: no retry is due
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/src/registry/key_index.cpp
+++ b/src/registry/key_index.cpp
@@ -81,18 +81,27 @@
 
 // Rejects an older registry, since it may lack a revocation that is already in force.
 void ReloadingKeyIndex::on_reloaded(LoadResult& result) {
-    if (!result.registry) return callbacks_.on_load_failed(result.error);
+    if (!result.registry) {
+        marker_watch_.report(event::FileWatch::ReadResult::failed);
+        return report_failure(result.error);
+    }
+    marker_watch_.report(event::FileWatch::ReadResult::complete);
     const std::uint64_t loaded = result.registry->version();
     const std::uint64_t current = registry_->version();
     if (loaded < current)
-        return callbacks_.on_load_failed("version " + std::to_string(loaded) +
-                                         " is older than the version in use, " +
-                                         std::to_string(current));
+        return report_failure("version " + std::to_string(loaded) +
+                              " is older than the version in use, " + std::to_string(current));
+    last_failure_.clear();
     if (loaded == current) return;
     result.registry->advance_clock(registry_->latest_time());
     use(std::move(result.registry));
 }
 
+// A load is tried again until it succeeds; only a new reason is reported.
+void ReloadingKeyIndex::report_failure(const std::string& reason) {
+    if (std::exchange(last_failure_, reason) != reason) callbacks_.on_load_failed(reason);
+}
+
 void ReloadingKeyIndex::use(std::unique_ptr<accounts::Registry> registry) {
     registry_ = std::move(registry);
     callbacks_.on_loaded(registry_->version());
--- a/src/registry/key_index.h
+++ b/src/registry/key_index.h
@@ -1,7 +1,8 @@
 // Looks up the accounts of keys in a registry folder, and reloads the registry when it changes.
 //
 // Reloads read the folder on a background thread; everything else runs on the loop's thread. A
-// registry that cannot be read, or that is older than the one in use, is reported and not used.
+// registry that cannot be read is reported and read again until it can. One that is older than the
+// one in use is reported and not used.
 #pragma once
 
 #include <functional>
@@ -37,6 +38,7 @@
     LoadResult try_load() const;
     void reload();
     void on_reloaded(LoadResult& result);
+    void report_failure(const std::string& reason);
     void use(std::unique_ptr<accounts::Registry> registry);
     // Returns the wall-clock time of construction, advanced by the monotonic clock, so that a step
     // of the wall clock does not change durations.
@@ -47,6 +49,7 @@
     std::string folder_;
     Callbacks callbacks_;
     std::unique_ptr<accounts::Registry> registry_;
+    std::string last_failure_;  // empty: the last load succeeded
     bool reload_pending_ = false;
     event::BackgroundTask background_;
     event::FileWatch marker_watch_;
