Upstream: rested connections are preferred; new ones only after late bytes of a host

ReuseRule has two states now. A connection that has rested for 12 ms is always preferred, which costs no connection and detects a late copy before the next request in most cases. Where none has rested, a trusting pool reuses the one that has rested longest; once any host has sent late bytes, for 5 minutes a new connection is opened instead.

--- a/src/upstream/common/connection_pool.cpp
+++ b/src/upstream/common/connection_pool.cpp
@@ -97,6 +97,9 @@
         auto connection = extract_ordered(host.idle, position);
         if (!is_usable(*connection, host)) {
             ++cumulative_stats_.stale;
+            const event::Stream& stream = connection->stream();
+            if (stream.has_unread_input() && !stream.peer_closed())
+                reuse_rule_.on_late_bytes(loop_.now());
             retire(std::move(connection));
             continue;
         }
@@ -174,6 +177,7 @@
 }
 
 void ConnectionPool::drop_unused(PooledConnection& connection, DropReason reason) {
+    if (reason == DropReason::unsolicited_bytes) reuse_rule_.on_late_bytes(loop_.now());
     ++(reason == DropReason::unsolicited_bytes ? cumulative_stats_.unsolicited
                                                : cumulative_stats_.stale);
     remove_unused(connection);
--- a/src/upstream/common/pool_policy.h
+++ b/src/upstream/common/pool_policy.h
@@ -2,6 +2,7 @@
 // folder is the same for both.
 #pragma once
 
+#include <chrono>
 #include <cstddef>
 #include <limits>
 
@@ -10,6 +11,10 @@
 
 namespace silverreach::upstream {
 
+// Hosts may send a second response some milliseconds late.
+inline constexpr ReuseSettings default_reuse{.rest = std::chrono::milliseconds(12),
+                                             .guard_duration = std::chrono::minutes(5)};
+
 inline constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
 
 struct PoolPolicy {
--- a/src/upstream/http/upstream.cpp
+++ b/src/upstream/http/upstream.cpp
@@ -9,7 +9,6 @@
 namespace {
 using namespace std::chrono_literals;
 
-constexpr Micros reuse_rest = 20ms;  // hosts may send a second response some milliseconds late
 constexpr std::size_t max_resting_per_host = 8;
 
 upstream::PoolPolicy pool_policy(const config::Config& config) {
@@ -17,7 +16,8 @@
     policy.max_in_use_per_host = static_cast<std::size_t>(config.hosts().max_connections());
     policy.idle_timeout = std::chrono::milliseconds(config.hosts().idle_ms());
     policy.sweep_interval = 1s;
-    policy.reuse.rest = reuse_rest;
+    policy.reuse = upstream::default_reuse;
+    policy.reuse.always_guarded = true;
     policy.reuse.max_resting = max_resting_per_host;
     return policy;
 }
--- a/src/upstream/resp/upstream.cpp
+++ b/src/upstream/resp/upstream.cpp
@@ -22,7 +22,7 @@
     policy.max_pending_per_host = max_pending_per_host;
     policy.idle_timeout = limits.idle_timeout;
     policy.pending_timeout = pending_timeout;
-    policy.reuse.rest = limits.reuse_rest;
+    policy.reuse = limits.reuse;
     policy.reuse.non_idempotent_limit = limits.non_idempotent_reuse_limit;
     policy.sweep_interval = sweep_interval;
     return policy;
--- a/src/upstream/resp/upstream_limits.h
+++ b/src/upstream/resp/upstream_limits.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 
 #include "silverreach/interface.h"
+#include "upstream/common/pool_policy.h"
 
 namespace silverreach::upstream_resp {
 
@@ -14,9 +15,7 @@
     Micros health_check_timeout{250'000};
     // Idle time of a connection after which a non-idempotent request gets a new one.
     Micros non_idempotent_reuse_limit{1'000'000};
-    // Time between two exchanges on a connection; see upstream::ReuseRule. Hosts may send a second
-    // response some milliseconds late.
-    Micros reuse_rest{20'000};
+    upstream::ReuseSettings reuse = upstream::default_reuse;
     bool request_load_report = true;  // in health checks
     // Bytes of incomplete responses on all connections; beyond this, responses above a minimum size
     // are dropped as malformed.
