Shortage tests: types are used once before the shortage, as UBSan needs a pipe

Trace: UBSan reads an object's vptr through a pipe when it meets a type for the first time (as src/frontend/common/client_connection.cpp says of destructors); without descriptors there is no pipe, and it reports a valid object. The test takes all descriptors of its own process, in which UBSan runs, and the reload's types were met there first.

The tests now let the gateway fail to read the file once and read it again before the shortage, by moving the file away and back. What they demand is unchanged. Under ASan and UBSan 2 of 2 tests pass, twice.

--- a/tests/gateway/descriptor_shortage_test.cpp
+++ b/tests/gateway/descriptor_shortage_test.cpp
@@ -24,6 +24,16 @@
   private:
     rlimit original_limit_{};
 };
+// Lets the gateway fail to read the file, and then read it, while there are descriptors. UBSan
+// checks the types of objects that it meets for the first time through a pipe, and would report
+// valid ones during the shortage.
+void read_once_without_shortage(TestGateway& gateway, const std::string& path) {
+    const std::string moved = path + ".moved";
+    ASSERT_EQ(::rename(path.c_str(), moved.c_str()), 0);
+    gateway.run_for(500ms);
+    ASSERT_EQ(::rename(moved.c_str(), path.c_str()), 0);
+    gateway.run_for(500ms);
+}
 // A retry comes 2 s after the shortage at the latest.
 constexpr auto shortage_duration = 1s;
 constexpr auto time_to_effect = 2500ms;
@@ -33,6 +43,7 @@
     KeyRegistry keys;
     const std::string key = keys.issue("birds");
     TestGateway gateway(keys.options());
+    read_once_without_shortage(gateway, keys.folder + "/mark");
     ASSERT_EQ(status(gateway.exchange(request_with(key))), 200);
     keys.commit(RevokeKey{std::string(parse_key(key).id), now(), RevocationCause::leaked});
     {
@@ -47,6 +58,7 @@
     Options options;
     options.hosts = 2;
     TestGateway gateway(options);
+    read_once_without_shortage(gateway, gateway.folder() + "/hosts.json");
     const auto removed = std::move(gateway.hosts[0]);
     gateway.hosts.erase(gateway.hosts.begin());
     gateway.write_host_list();
--- a/tests/gateway/test_gateway.h
+++ b/tests/gateway/test_gateway.h
@@ -153,6 +153,7 @@
         write("hosts.json",
               R"({"clusterName":"hosts","endpoints":[{"lbEndpoints":[)" + endpoints + "]}]}");
     }
+    const std::string& folder() const { return folder_; }
     void flush_log() { log_.flush(); }
     bool reload() {
         bool is_done = false, is_accepted = false;
