Node tests: three in their original form again; the open part of the late copies is red

The first form of the reuse rule rested every connection and opened more, for which HostConnectionsDoNotGrowWithCustomersAndClients, AMalformedLoadReportIsIgnoredAndTheConnectionReused and ANonIdempotentRequestReusesNoLongIdleConnection had been changed. The weaker test of the connections at full speed goes, as the original bound of 8 holds there.

The hole that the rule leaves on node had no test.

--- a/tests/node/endings_test.cpp
+++ b/tests/node/endings_test.cpp
@@ -241,7 +241,6 @@
     AttemptRecorder recorder;
     upstream_resp::UpstreamLimits limits;
     limits.non_idempotent_reuse_limit = 300ms;
-    limits.reuse.rest = 0ms;
     upstream_resp::Upstream upstream(runner.loop, limits, recorder);
     upstream.update_hosts(*platform::read_targets(Discovery::list(1, true, host.target("s-1"))));
     const auto send = [&](RequestId id, bool is_idempotent) {
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -17,8 +17,6 @@
 std::string response_to(std::uint64_t id) {
     return bulk("for " + hex(id));
 }
-// Longer than a connection to a host rests between two exchanges.
-constexpr auto connection_rest = 25ms;
 constexpr auto work_time = 10ms;  // of a host, longer than a late response is late
 }  // namespace
 
@@ -164,39 +162,19 @@
     EXPECT_EQ(node.exchange(query(2), response_to(2).size()), response_to(2));
 }
 
-namespace {
-// Returns the number of open connections to hosts after 400 requests, each of another customer.
-std::size_t connections_after_requests(TestNode& node, std::chrono::milliseconds pause) {
-    for (std::uint64_t i = 1; i <= 400; ++i) {
-        EXPECT_EQ(node.exchange(
+TEST(Node, HostConnectionsDoNotGrowWithCustomersAndClients) {
+    TestNode node({4});
+    for (std::uint64_t i = 1; i <= 400; ++i)
+        ASSERT_EQ(node.exchange(
                       query(i, "c=lookup,t=team,d=1500,units=1,spread=1,first=0", hex(5000 + i)),
                       response_to(i).size()),
                   response_to(i));
-        if (pause > 0ms) node.run_for(pause);
-    }
     node.run_for(20ms);
     std::size_t open_count = 0;
     for (auto& host : node.hosts)
         for (auto& peer : host->peers)
             open_count += !peer->is_closed;
-    return open_count;
-}
-}  // namespace
-
-TEST(Node, HostConnectionsDoNotGrowWithCustomersAndClients) {
-    TestNode node({4});
-    constexpr auto pause = 7ms;  // 140 requests a second, the protocol's usual most
-    EXPECT_LE(connections_after_requests(node, pause), 8u);
-}
-
-TEST(Node, HostConnectionsGrowOnlyByTheRequestsWithinARest) {
-    TestNode node({4});
-    const Micros started_at = node.loop.now();
-    const std::size_t open_count = connections_after_requests(node, 0ms);
-    const double requests_per_s =
-        400 / std::chrono::duration<double>(node.loop.now() - started_at).count();
-    const double resting = requests_per_s * std::chrono::duration<double>(connection_rest).count();
-    EXPECT_LE(static_cast<double>(open_count), 8 + resting);
+    EXPECT_LE(open_count, 8u) << "host connections do not grow with customers";
 }
 
 TEST(Node, AMalformedResponseIsAFailedAttemptAndNeverReachesTheClient) {
@@ -318,6 +296,21 @@
         EXPECT_EQ(node.exchange(query(id), response_to(id).size()), response_to(id));
 }
 
+// Guards against the same where every response has its copy and the next request follows at once,
+// so that no copy arrives on a connection without a request.
+TEST(Node, ASecondResponseToEachRequestOfABusyConnectionIsNotTheNextResponse) {
+    TestNode node;
+    node.hosts[0]->respond = [&](ScriptedServer::Peer& peer, const Arguments& arguments) {
+        const auto respond = [&peer, response = host_response("for " + arguments[2])] {
+            if (!peer.is_closed) peer.stream.write(response);
+        };
+        node.loop.after(work_time, respond);
+        node.loop.after(work_time + 5ms, respond);
+    };
+    for (std::uint64_t id = 1; id <= 20; ++id)
+        EXPECT_EQ(node.exchange(query(id), response_to(id).size()), response_to(id));
+}
+
 TEST(Node, AMalformedLoadReportIsIgnoredAndTheConnectionReused) {
     TestNode node;
     for (const char* report : {"queue=", "queue=many", "\xff\xfe", "queue=-3", "queue=2", "=,="}) {
@@ -325,7 +318,6 @@
             peer.stream.write(host_response("x", report));
         };
         EXPECT_EQ(node.exchange(query(1), 3), bulk("x")) << report;
-        node.run_for(connection_rest);
     }
     EXPECT_EQ(node.hosts[0]->peers.size(), 1u);
     EXPECT_EQ(upstream_resp::parse_load_report("inflight=7,queue=2,util=0.61").queued_requests, 2);
