Node: a request waits for the rest of its connection until its hosts have earned trust

Cause: until a host had shown late bytes, a connection that had not rested was reused at once, so the first copies counted as responses.

Evidence: where nothing has rested, the write of the request is what makes a copy ambiguous, not the choice of the connection.

Change: ReuseRule answers with a wait. PooledConnection has the state `resting`: the request is written when 12 ms have passed without bytes; bytes, a close or another address of the host move the exchange to another connection, as nothing of it was written. 100 clean rests in a row earn trust (early reuse), late bytes end it for 5 minutes at least. `counts` has `waited`. An attempt that is withdrawn before its request is written leaves its connection open.

Why it works: a copy that arrives within 12 ms meets a connection without a request, whatever the host showed before.

--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -202,6 +202,7 @@
             {"host_connections", to_int64(connection_stats.open)},
             {"opened", to_int64(connection_stats.opened)},
             {"reused", to_int64(connection_stats.reused)},
+            {"waited", to_int64(connection_stats.waited)},
             {"stale", to_int64(connection_stats.stale)},
             {"spoilt", to_int64(response_stats.malformed)},
             {"more", to_int64(connection_stats.unsolicited + response_stats.trailing_bytes)},
--- a/src/upstream/common/connection_pool.cpp
+++ b/src/upstream/common/connection_pool.cpp
@@ -92,8 +92,8 @@
 }
 
 PooledConnection* ConnectionPool::take_idle(HostConnections& host, const ExchangeTraits& traits) {
-    while (const auto index = choose_idle(host, traits)) {
-        const auto position = host.idle.begin() + static_cast<std::ptrdiff_t>(*index);
+    while (const auto choice = choose_idle(host, traits)) {
+        const auto position = host.idle.begin() + static_cast<std::ptrdiff_t>(choice->index);
         auto connection = extract_ordered(host.idle, position);
         if (!is_usable(*connection, host)) {
             ++cumulative_stats_.stale;
@@ -104,21 +104,34 @@
             continue;
         }
         ++cumulative_stats_.reused;
+        if (choice->wait > Micros{0})
+            ++cumulative_stats_.waited;
+        else if (choice->rested)
+            reuse_rule_.on_clean_rest();
+        connection->set_not_before(loop_.now() + choice->wait);
         host.in_use.push_back(std::move(connection));
         return host.in_use.back().get();
     }
     return nullptr;
 }
 
-std::optional<std::size_t> ConnectionPool::choose_idle(const HostConnections& host,
+std::optional<ReuseChoice> ConnectionPool::choose_idle(const HostConnections& host,
                                                        const ExchangeTraits& traits) const {
     const auto idle_at = [&host](std::size_t index) {
         const PooledConnection& connection = *host.idle[index];
         return IdleConnection{connection.unused_since(), connection.exchange_ended_at()};
     };
-    const bool may_open =
+    const auto is_waiting = [](const auto& connection) {
+        return connection->state() == PooledConnection::State::resting;
+    };
+    ReuseQuery query;
+    query.now = loop_.now();
+    query.idle_count = host.idle.size();
+    query.waiting_count = static_cast<std::size_t>(std::ranges::count_if(host.in_use, is_waiting));
+    query.idempotent = traits.idempotent;
+    query.may_open =
         traits.health_check || host.in_use.size() + host.idle.size() < policy_.max_in_use_per_host;
-    return reuse_rule_.choose(host.idle.size(), idle_at, traits.idempotent, may_open, loop_.now());
+    return reuse_rule_.choose(query, idle_at);
 }
 
 bool ConnectionPool::is_usable(const PooledConnection& connection,
@@ -177,12 +190,19 @@
 }
 
 void ConnectionPool::drop_unused(PooledConnection& connection, DropReason reason) {
-    if (reason == DropReason::unsolicited_bytes) reuse_rule_.on_late_bytes(loop_.now());
-    ++(reason == DropReason::unsolicited_bytes ? cumulative_stats_.unsolicited
-                                               : cumulative_stats_.stale);
+    count_drop(reason);
     remove_unused(connection);
 }
 
+void ConnectionPool::count_drop(DropReason reason) {
+    if (reason == DropReason::closed_by_host) {
+        ++cumulative_stats_.stale;
+        return;
+    }
+    ++cumulative_stats_.unsolicited;
+    reuse_rule_.on_late_bytes(loop_.now());
+}
+
 void ConnectionPool::remove_unused(PooledConnection& connection) {
     for (auto* list : {&connection.host().idle, &connection.host().pending})
         if (const auto position = find_in(*list, connection); position != list->end())
--- a/src/upstream/common/connection_pool.h
+++ b/src/upstream/common/connection_pool.h
@@ -39,11 +39,6 @@
     bool health_check = false;
 };
 
-enum class DropReason {
-    unsolicited_bytes,
-    closed_by_host
-};
-
 // A change of one host in discovery.
 struct HostUpdate {
     std::string host;
@@ -63,6 +58,7 @@
         std::size_t hosts = 0;     // current hosts
         std::uint64_t opened = 0;  // connections opened
         std::uint64_t reused = 0;  // exchanges that reused an idle connection
+        std::uint64_t waited = 0;  // of these, exchanges that waited for the end of its rest
         std::uint64_t stale = 0;   // unused connections closed by the host, or unusable on reuse
         std::uint64_t unsolicited = 0;  // unused connections that received bytes
         std::uint64_t full = 0;         // calls of acquire that failed with pool_limit_reached
@@ -93,6 +89,11 @@
     // Called by the connections of this pool:
     void on_pending_connected(PooledConnection& connection);
     void drop_unused(PooledConnection& connection, DropReason reason);
+    // A connection on which an exchange waited has rested without bytes of its host.
+    void on_rest_ended() { reuse_rule_.on_clean_rest(); }
+    // Counts a connection in use that is lost before its request is written. Its exchange moves to
+    // another connection.
+    void count_drop(DropReason reason);
 
     template <class Visitor>
     void for_each_in_use(Visitor visitor) const {
@@ -105,7 +106,7 @@
   private:
     HostConnections* find_host(const std::string& host) const;
     PooledConnection* take_idle(HostConnections& host, const ExchangeTraits& traits);
-    std::optional<std::size_t> choose_idle(const HostConnections& host,
+    std::optional<ReuseChoice> choose_idle(const HostConnections& host,
                                            const ExchangeTraits& traits) const;
     bool is_usable(const PooledConnection& connection, const HostConnections& host) const;
     std::variant<PooledConnection*, AcquireError> open_connection(HostConnections& host);
--- a/src/upstream/common/pooled_connection.cpp
+++ b/src/upstream/common/pooled_connection.cpp
@@ -17,18 +17,45 @@
 [[gnu::no_sanitize("vptr")]] PooledConnection::~PooledConnection() = default;
 
 bool PooledConnection::has_exchange() const {
-    return state_ == State::connecting || state_ == State::starting || request_written();
+    return state_ == State::connecting || state_ == State::resting || state_ == State::starting ||
+           request_written();
 }
 
 bool PooledConnection::is_connected() const {
-    return state_ == State::idle || state_ == State::starting || request_written();
+    return state_ == State::idle || state_ == State::resting || state_ == State::starting ||
+           request_written();
 }
 
 void PooledConnection::begin_exchange(const core::AttemptKey& key) {
     key_ = key;
     exchange_started_ = loop_.now();
     ++exchange_id_;
-    state_ = is_connected() ? State::starting : State::connecting;
+    if (!is_connected()) {
+        state_ = State::connecting;
+        return;
+    }
+    state_ = loop_.now() < not_before_ ? State::resting : State::starting;
+    if (state_ == State::resting) start_rest_timer();
+}
+
+void PooledConnection::start_rest_timer() {
+    after_in_exchange(not_before_ - loop_.now(), [this] { end_rest(); });
+}
+
+// The host's bytes may have arrived without having been read yet.
+void PooledConnection::end_rest() {
+    if (stream_.peer_closed()) return lose_resting(DropReason::closed_by_host);
+    if (stream_.has_unread_input()) return lose_resting(DropReason::unsolicited_bytes);
+    if (!was_opened_to(host_.address)) return move_exchange();
+    pool_.on_rest_ended();
+    state_ = State::starting;
+    exchange_started_ = loop_.now();
+    on_ready();
+}
+
+void PooledConnection::lose_resting(DropReason reason) {
+    pool_.count_drop(reason);
+    move_exchange();
 }
 
 void PooledConnection::end_exchange() {
@@ -52,17 +79,20 @@
 }
 
 void PooledConnection::on_data(std::string_view bytes) {
+    if (state_ == State::resting) return lose_resting(DropReason::unsolicited_bytes);
     if (has_exchange()) return on_response_bytes(bytes);
     // Bytes without a request in progress mean that the host's framing cannot be trusted any more.
     pool_.drop_unused(*this, DropReason::unsolicited_bytes);
 }
 
 void PooledConnection::on_end() {
+    if (state_ == State::resting) return lose_resting(DropReason::closed_by_host);
     if (has_exchange()) return on_remote_close();
     pool_.drop_unused(*this, DropReason::closed_by_host);
 }
 
 void PooledConnection::on_error(int error) {
+    if (state_ == State::resting) return lose_resting(DropReason::closed_by_host);
     if (has_exchange()) return on_exchange_error(error);
     pool_.drop_unused(*this, DropReason::closed_by_host);
 }
--- a/src/upstream/common/pooled_connection.h
+++ b/src/upstream/common/pooled_connection.h
@@ -7,6 +7,10 @@
 //      ▼ │
 //   connecting ──connected──> starting          any ──retire──> closed
 //
+// Where the connection must rest before its next request (ReuseRule), `begin` leads to `resting`
+// and the end of the rest to `starting`. Bytes or a close of the host while it rests move the
+// exchange to another connection, as nothing of it has been written.
+//
 // Runs on the loop's thread. The pool owns the connection. A retired connection is destroyed after
 // the current callback of the loop has returned, so it may be retired from within its own
 // callbacks.
@@ -25,12 +29,19 @@
 struct HostConnections;
 class ConnectionPool;
 
+// Why a connection is lost on which no request is written.
+enum class DropReason {
+    unsolicited_bytes,
+    closed_by_host
+};
+
 class PooledConnection : public event::StreamOwner {
   public:
     enum class State {
         pending,            // handshake in progress, no exchange
         connecting,         // handshake in progress, an exchange waits for it
         idle,               // connected, no exchange
+        resting,            // connected; the exchange waits for late bytes of the one before it
         starting,           // connected; the request of the exchange is not written yet
         awaiting_response,  // the request is written; bytes of it may still be queued
         receiving_body,     // the head of the response has been read
@@ -63,6 +74,8 @@
     void set_unused_since(Micros now) { unused_since_ = now; }
     // Loop time at which the last exchange ended whose request was written; none: there was none.
     std::optional<Micros> exchange_ended_at() const { return exchange_ended_at_; }
+    // Loop time before which the next exchange writes no request.
+    void set_not_before(Micros time) { not_before_ = time; }
     void retire();  // closes the socket immediately
 
     void on_connected() final;
@@ -71,8 +84,12 @@
     void on_error(int error) final;
 
   protected:
-    // Called when the handshake completes while an exchange waits: the request can be written.
+    // Called when the handshake or the rest ends while an exchange waits for it: the request can
+    // be written.
     virtual void on_ready() = 0;
+    // Called when the connection is lost while it rests: moves the exchange to another connection
+    // and releases this one as not reusable.
+    virtual void move_exchange() = 0;
     virtual void on_response_bytes(std::string_view bytes) = 0;
     virtual void on_remote_close() = 0;             // the host closed its half
     virtual void on_exchange_error(int error) = 0;  // `error` is an errno; the stream is closed
@@ -86,7 +103,8 @@
     bool request_written() const {
         return state_ == State::awaiting_response || state_ == State::receiving_body;
     }
-    Micros elapsed() const { return loop_.now() - exchange_started_; }  // since begin_exchange
+    // Time since begin_exchange or, where the exchange waited for a rest, since its end.
+    Micros elapsed() const { return loop_.now() - exchange_started_; }
     // Changes at each start and end of an exchange. Code that runs callbacks compares it to detect
     // that the exchange has ended meanwhile.
     std::uint64_t exchange_id() const { return exchange_id_; }
@@ -104,6 +122,10 @@
     Micros now() const { return loop_.now(); }
 
   private:
+    void start_rest_timer();
+    void end_rest();
+    void lose_resting(DropReason reason);
+
     event::Loop& loop_;
     ConnectionPool& pool_;
     HostConnections& host_;
@@ -114,6 +136,7 @@
     std::uint64_t exchange_id_ = 0;
     Micros exchange_started_{0};
     Micros unused_since_{0};
+    Micros not_before_{0};
     std::optional<Micros> exchange_ended_at_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
--- a/src/upstream/http/upstream.cpp
+++ b/src/upstream/http/upstream.cpp
@@ -9,6 +9,7 @@
 namespace {
 using namespace std::chrono_literals;
 
+// HTTP hosts are few, so that some more connections to each cost little.
 constexpr std::size_t max_resting_per_host = 8;
 
 upstream::PoolPolicy pool_policy(const config::Config& config) {
@@ -17,8 +18,7 @@
     policy.idle_timeout = std::chrono::milliseconds(config.hosts().idle_ms());
     policy.sweep_interval = 1s;
     policy.reuse = upstream::default_reuse;
-    policy.reuse.always_guarded = true;
-    policy.reuse.max_resting = max_resting_per_host;
+    policy.reuse.max_resting_to_open = max_resting_per_host;
     return policy;
 }
 }  // namespace
@@ -30,7 +30,7 @@
             [this](upstream::HostConnections& host, event::Fd fd) {
                 return std::make_unique<UpstreamConnection>(context_, host, std::move(fd));
             }),
-      context_{loop, config, callbacks, pool_, attempts_} {}
+      context_{loop, config, callbacks, pool_, attempts_, *this} {}
 
 void Upstream::send(const core::AttemptKey& key, const std::string& host,
                     std::shared_ptr<const UpstreamRequest> request) {
@@ -50,6 +50,12 @@
     return pool_.acquire(host, traits);
 }
 
+void Upstream::move_exchange(const core::AttemptKey& key, const std::string& host,
+                             std::shared_ptr<const UpstreamRequest> request) {
+    if (key == upstream::health_check_key) return start_health_check(host);
+    send(key, host, std::move(request));
+}
+
 void Upstream::cancel(const core::AttemptKey& key) {
     if (UpstreamConnection* connection = attempts_.find(key)) connection->abandon();
 }
--- a/src/upstream/http/upstream.h
+++ b/src/upstream/http/upstream.h
@@ -14,7 +14,7 @@
 namespace silverreach::upstream_http {
 
 // Runs on the loop's thread. `loop`, `config` and `callbacks` outlive it.
-class Upstream {
+class Upstream : private ExchangeMover {
   public:
     using Stats = upstream::ConnectionPool::Stats;
 
@@ -38,6 +38,8 @@
     Stats stats() const { return pool_.stats(); }
 
   private:
+    void move_exchange(const core::AttemptKey& key, const std::string& host,
+                       std::shared_ptr<const UpstreamRequest> request) override;
     std::variant<upstream::PooledConnection*, upstream::AcquireError> acquire(
         const std::string& host, const upstream::ExchangeTraits& traits);
 
--- a/src/upstream/http/upstream_connection.cpp
+++ b/src/upstream/http/upstream_connection.cpp
@@ -29,11 +29,18 @@
     parser_.set_response_to_head(request_->head_method);
     if (state() == State::starting)
         write_request();
-    else
+    else if (state() == State::connecting)
         start_connect_timer();
     if (is_health_check()) start_health_check_timer();
 }
 
+void UpstreamConnection::move_exchange() {
+    const core::AttemptKey moved_key = key();
+    std::shared_ptr<const UpstreamRequest> request = request_;
+    release(false);
+    context_.mover.move_exchange(moved_key, host().host, std::move(request));
+}
+
 void UpstreamConnection::start_connect_timer() {
     const auto limit = std::chrono::milliseconds(context_.config.hosts().connect_ms());
     after_in_exchange(limit, [this] {
@@ -151,7 +158,7 @@
 }
 
 void UpstreamConnection::abandon() {
-    release(false);
+    release(is_connected() && !request_written());
 }
 
 void UpstreamConnection::release(bool reusable) {
--- a/src/upstream/http/upstream_connection.h
+++ b/src/upstream/http/upstream_connection.h
@@ -15,6 +15,14 @@
 class UpstreamConnection;
 using AttemptTable = upstream::AttemptTable<UpstreamConnection>;
 
+// Sends an exchange again whose connection was lost before its request was written.
+class ExchangeMover {
+  public:
+    virtual ~ExchangeMover() = default;
+    virtual void move_exchange(const core::AttemptKey& key, const std::string& host,
+                               std::shared_ptr<const UpstreamRequest> request) = 0;
+};
+
 // Shared by all connections of an Upstream; outlives them.
 struct ConnectionContext {
     event::Loop& loop;
@@ -22,6 +30,7 @@
     AttemptCallbacks& callbacks;
     upstream::ConnectionPool& pool;
     AttemptTable& attempts;
+    ExchangeMover& mover;
 };
 
 class UpstreamConnection : public upstream::PooledConnection, private http::Parser::Events {
@@ -30,11 +39,12 @@
 
     // Sends the request now, or once the connection is established.
     void begin(const core::AttemptKey& key, std::shared_ptr<const UpstreamRequest> request);
-    // Ends the exchange and closes the connection without a callback.
+    // Ends the exchange without a callback. Closes the connection unless it is resting.
     void abandon();
 
   private:
     void on_ready() override { write_request(); }
+    void move_exchange() override;
     void on_response_bytes(std::string_view bytes) override;
     void on_remote_close() override;
     void on_exchange_error(int error) override;
--- a/src/upstream/resp/upstream.cpp
+++ b/src/upstream/resp/upstream.cpp
@@ -37,7 +37,7 @@
             [this](upstream::HostConnections& host, event::Fd fd) {
                 return std::make_unique<UpstreamConnection>(context_, host, std::move(fd));
             }),
-      context_{loop, limits_, callbacks, pool_, attempts_, counters_, buffer_budget_} {}
+      context_{loop, limits_, callbacks, pool_, attempts_, counters_, buffer_budget_, *this} {}
 
 void Upstream::send(const core::AttemptKey& key, const std::string& host,
                     std::shared_ptr<const platform::UpstreamCommand> command) {
@@ -53,6 +53,12 @@
     connection.begin_attempt(key, std::move(command));
 }
 
+void Upstream::move_exchange(const core::AttemptKey& key, const std::string& host,
+                             std::shared_ptr<const platform::UpstreamCommand> command) {
+    if (key == upstream::health_check_key) return start_health_check(host);
+    send(key, host, std::move(command));
+}
+
 void Upstream::cancel(const core::AttemptKey& key) {
     if (UpstreamConnection* connection = attempts_.find(key)) connection->abandon();
 }
--- a/src/upstream/resp/upstream.h
+++ b/src/upstream/resp/upstream.h
@@ -15,7 +15,7 @@
 namespace silverreach::upstream_resp {
 
 // Runs on the loop's thread. `loop` and `callbacks` outlive it.
-class Upstream {
+class Upstream : private ExchangeMover {
   public:
     struct Stats {
         upstream::ConnectionPool::Stats connections;
@@ -47,6 +47,9 @@
     Stats stats() const { return {pool_.stats(), counters_}; }
 
   private:
+    void move_exchange(const core::AttemptKey& key, const std::string& host,
+                       std::shared_ptr<const platform::UpstreamCommand> command) override;
+
     const UpstreamLimits limits_;
     AttemptCallbacks& callbacks_;
     ResponseCounters counters_;
--- a/src/upstream/resp/upstream_connection.cpp
+++ b/src/upstream/resp/upstream_connection.cpp
@@ -48,10 +48,17 @@
     if (is_health_check()) start_health_check_timer();
     if (state() == State::starting)
         write_request();
-    else
+    else if (state() == State::connecting)
         start_connect_timer();
 }
 
+void UpstreamConnection::move_exchange() {
+    const core::AttemptKey moved_key = key();
+    std::shared_ptr<const platform::UpstreamCommand> command = command_;
+    release(false);
+    context_.mover.move_exchange(moved_key, host().host, std::move(command));
+}
+
 void UpstreamConnection::write_request() {
     if (!is_health_check()) return write_attempt();
     mark_request_written();
@@ -139,7 +146,7 @@
 // ---- end of the exchange ----
 
 void UpstreamConnection::abandon() {
-    release(!is_connected());
+    release(!request_written());
 }
 
 void UpstreamConnection::end_unsent() {
--- a/src/upstream/resp/upstream_connection.h
+++ b/src/upstream/resp/upstream_connection.h
@@ -27,6 +27,14 @@
     std::uint64_t stalled = 0;         // begun but not completed in time
 };
 
+// Sends an exchange again whose connection was lost before its request was written.
+class ExchangeMover {
+  public:
+    virtual ~ExchangeMover() = default;
+    virtual void move_exchange(const core::AttemptKey& key, const std::string& host,
+                               std::shared_ptr<const platform::UpstreamCommand> command) = 0;
+};
+
 // Shared by all connections of an Upstream; outlives them.
 struct ConnectionContext {
     event::Loop& loop;
@@ -36,6 +44,7 @@
     AttemptTable& attempts;
     ResponseCounters& counters;
     event::BufferBudget& buffer_budget;  // of incomplete replies
+    ExchangeMover& mover;
 };
 
 class UpstreamConnection : public upstream::PooledConnection {
@@ -53,6 +62,7 @@
 
   private:
     void on_ready() override { write_request(); }
+    void move_exchange() override;
     void on_response_bytes(std::string_view bytes) override;
     void on_remote_close() override { fail_connection_lost(); }
     void on_exchange_error(int error) override;
