Soak test: a stall of the test itself counts before its late probe runs

The program kept it; the test read its sockets late.

Hypotheses: a gateway that stalls between clock and write, or a test that stalls. The breaches of many gateways in one moment speak for the test, which allows for its own lag. But the loop reads sockets before it runs timers after a stall, so the probe's late timer had not told the lag yet.

Change: ObserverLag counts the overdue probe as well, and the checker is told the lag before each command and answer. Allowance, window and bounds stay.

--- a/tests/soak/test_environment.cpp
+++ b/tests/soak/test_environment.cpp
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 
 #include <algorithm>
+#include <deque>
 
 namespace soak {
 namespace {
@@ -104,6 +105,7 @@
     if (arguments.size() < 4)
         return environment_.checker.add_violation(now, ViolationKind::malformed,
                                                   "a command with too few arguments");
+    environment_.update_observer_lag();
     const std::uint64_t id = std::stoull(arguments[2], nullptr, 16);
     // A cancellation that is still unread on another connection was sent before this request.
     auto& checks = environment_.disconnect_checks[id];
@@ -286,6 +288,7 @@
                                                    "an answer without a request");
                 continue;
             }
+            environment_.update_observer_lag();
             environment_.checker.on_answer(environment_.now(), open_requests_.front().id,
                                            reply.type == resp::ReplyType::bulk_string, reply.text,
                                            last_answer_at_);
@@ -424,7 +427,11 @@
 
 TestEnvironment::TestEnvironment(event::Loop& event_loop, EnvironmentSize environment_size,
                                  std::uint64_t seed, GuaranteeChecker& guarantee_checker)
-    : loop(event_loop), size(environment_size), checker(guarantee_checker), random(seed) {
+    : loop(event_loop),
+      size(environment_size),
+      checker(guarantee_checker),
+      random(seed),
+      lag_(lag_period, lag_window) {
     int pipe_fds[2];
     if (::pipe2(pipe_fds, O_CLOEXEC) != 0) throw std::runtime_error("soak: cannot create a pipe");
     full_pipe_read_end_ = event::Fd(pipe_fds[0]), full_pipe_write_end_ = event::Fd(pipe_fds[1]);
@@ -452,7 +459,6 @@
         for (int c = 0; c < size.clients_per_gateway; ++c)
             clients_.push_back(std::make_unique<Client>(*this, g));
     watch_processes();
-    lag_probe_due_at_ = now() + lag_period;
     measure_lag();
 }
 TestEnvironment::~TestEnvironment() = default;
@@ -558,16 +564,12 @@
     loop.after(30ms, [this] { watch_processes(); });
 }
 
+void TestEnvironment::update_observer_lag() {
+    checker.set_observer_lag(min_lag_allowance + lag_.longest(now()));
+}
+
 void TestEnvironment::measure_lag() {
-    const Micros measured_at = now();
-    lag_samples_.emplace_back(measured_at, std::max(0us, measured_at - lag_probe_due_at_));
-    while (lag_samples_.front().first < measured_at - lag_window)
-        lag_samples_.pop_front();
-    Micros max_lag = 0us;
-    for (const auto& [sample_time, lag] : lag_samples_)
-        max_lag = std::max(max_lag, lag);
-    checker.set_observer_lag(min_lag_allowance + max_lag);
-    lag_probe_due_at_ = measured_at + lag_period;
+    lag_.on_probe(now());
     loop.after(lag_period, [this] { measure_lag(); });
 }
 
--- a/tests/soak/test_environment.h
+++ b/tests/soak/test_environment.h
@@ -4,7 +4,6 @@
 // attempt.
 #pragma once
 
-#include <deque>
 #include <functional>
 #include <memory>
 #include <random>
@@ -18,6 +17,7 @@
 #include "resp/reply_parser.h"
 #include "resp/serializer.h"
 #include "tests/soak/guarantee_checker.h"
+#include "tests/soak/observer_lag.h"
 #include "tests/support/node_process.h"
 
 namespace soak {
@@ -128,6 +128,8 @@
     std::string targets(int gateway) const;
     void update_list();  // sends the list to the watches of all gateways
     std::uint64_t next_id() { return ++last_id_; }
+    // Tells the checker how late the test's loop runs. Called before what arrived is checked.
+    void update_observer_lag();
     Micros now() const { return event::Loop::clock(); }
     double uniform() { return std::uniform_real_distribution<double>(0, 1)(random); }
     int random_below(int limit) { return std::uniform_int_distribution<int>(0, limit - 1)(random); }
@@ -154,8 +156,7 @@
     bool clients_stopped_ = false;
     std::vector<std::unique_ptr<Client>> clients_;
     event::Fd full_pipe_read_end_, full_pipe_write_end_;
-    Micros lag_probe_due_at_{0};
-    std::deque<std::pair<Micros, Micros>> lag_samples_;
+    ObserverLag lag_;
 };
 
 // Injects random faults for `duration`; their kind, time and target are drawn from the
