HTTP: what is queued of a response reaches a client that has ended its side

Callers with half_closed: ANSWER that end their side after the request and read late lost the rest of the response, with an end that looks whole.

Cause: HttpConnection::on_end and process_pending closed the connection where no request was in progress, whatever the stream still held.

Change: both linger instead, which closes at once if nothing is queued, when all is sent otherwise, and by a reset after stalled_ms without progress.

--- a/src/frontend/http/http_connection.cpp
+++ b/src/frontend/http/http_connection.cpp
@@ -70,7 +70,7 @@
     if (state_ == State::closed) return;
     if (pending_input_.size() <= max_pending_bytes && state_ != State::lingering)
         stream().set_reading(true);
-    if (half_closed_ && is_reading()) close();
+    if (half_closed_ && is_reading()) linger();
 }
 
 bool HttpConnection::on_head(wire::Head& head) {
@@ -222,7 +222,8 @@
         if (stream().queued_bytes() == 0) close();
         return;
     }
-    if (state_ == State::reading_head && pending_input_.empty()) return close();
+    // Responses that are still queued reach the client.
+    if (state_ == State::reading_head && pending_input_.empty()) return linger();
     const bool answers_half_closed =
         context_.config.listen().half_closed() == config::Listen::ANSWER;
     if (answers_half_closed && !is_reading()) return;
--- a/tests/gateway/response_end_test.cpp
+++ b/tests/gateway/response_end_test.cpp
@@ -95,6 +95,35 @@
             << (clients[n]->reset ? "reset" : "ended");
 }
 
+// Guards against the rest of a response that is dropped when the client ends its side.
+TEST(ResponseEnd, AClientThatEndsItsSideAndReadsLateGetsItsWholeResponse) {
+    constexpr std::size_t responses = 30, step_bytes = 200'000;
+    Options options;
+    options.listen_fields = "half_closed: ANSWER";
+    options.deadline_ms = 10'000;
+    TestGateway gateway(options);
+    const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    for (std::size_t n = 1; n <= responses; ++n) {
+        const std::string body = text_of(n * step_bytes);
+        gateway.hosts[0]->respond = [&](ScriptedHost::Peer& peer, const std::string&) {
+            peer.stream.write(
+                fmt::format("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", body.size()));
+            peer.stream.write(body);
+        };
+        SlowClient client(gateway.instance->port(), request);
+        gateway.run_for(60ms);
+        ::shutdown(client.fd.get(), SHUT_WR);
+        gateway.run_for(20ms);
+        const auto read_all = [&] {
+            if (!client.is_closed()) client.read_at_most(256 * bytes_per_kib);
+            return client.is_closed();
+        };
+        EXPECT_TRUE(gateway.run_until(read_all, 5s));
+        EXPECT_EQ(body_of(client.received).size(), body.size())
+            << (client.reset ? "reset" : "ended");
+    }
+}
+
 // The system accepts bytes in large steps, so it makes no progress for longer than stalled_ms
 // although the client reads all the time.
 TEST(ResponseEnd, AClientThatReadsSlowlyButSteadilyGetsItsWholeResponse) {
