HTTP: requests in hand are answered after their client has ended its side

Callers with half_closed: ANSWER that pipeline three requests and end their side got one answer; the others were dropped without a word.

Cause: finish_exchange ended the connection after the first response once the end had been read, and on_end closed it while the next request waited for its turn, though both lay in the input that was read already.

Evidence: HttpFrontend.PipelinedRequestsOfAHalfClosedClientAreAllAnswered, one answer of three before, with a host that answers at once and after 30 ms.

Change: the connection goes on while there is input in hand, and lingers when none is left; an incomplete request at the end gets no answer.

--- a/src/frontend/http/http_connection.cpp
+++ b/src/frontend/http/http_connection.cpp
@@ -192,14 +192,16 @@
 }
 
 void HttpConnection::finish_exchange() {
-    const bool keep_alive = request_->client.keep_alive && !half_closed_;
+    // A client that has ended its side is answered what it sent before.
+    const bool input_left = !half_closed_ || !pending_input_.empty();
+    const bool keep_alive = request_->client.keep_alive && input_left;
     context_.in_flight.erase(request_->id);
     request_.reset();
     start_wait(loop().now());
     if (!keep_alive) return linger();
     state_ = State::reading_head;
     parser_.reset();
-    if (pending_input_.empty() && !half_closed_) return;
+    if (pending_input_.empty()) return;
     // Deferred because processing the next request within the call that delivered the response
     // would let a client nest calls without limit.
     call_later(0us, [this] {
@@ -226,8 +228,9 @@
     if (state_ == State::reading_head && pending_input_.empty()) return linger();
     const bool answers_half_closed =
         context_.config.listen().half_closed() == config::Listen::ANSWER;
-    if (answers_half_closed && !is_reading()) return;
-    disconnect();
+    if (!answers_half_closed) return disconnect();
+    // The requests that are in hand are answered; the connection ends after the last one.
+    if (is_reading()) process_pending();
 }
 
 void HttpConnection::check_client_connected() {
--- a/tests/gateway/http_test.cpp
+++ b/tests/gateway/http_test.cpp
@@ -233,6 +233,28 @@
     }
 }
 
+// Guards against requests that are dropped without an answer, as the client ended its side while
+// they waited behind the first one.
+TEST(HttpFrontend, PipelinedRequestsOfAHalfClosedClientAreAllAnswered) {
+    for (const auto response_time : {0ms, 30ms}) {
+        Options options;
+        options.listen_fields = "half_closed: ANSWER";
+        TestGateway gateway(options);
+        gateway.hosts[0]->respond = [&](ScriptedHost::Peer& peer, const std::string&) {
+            gateway.loop.after(response_time, [&peer] {
+                peer.stream.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+            });
+        };
+        auto client = gateway.connect();
+        const std::string request = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+        client->stream.write(request + request + request + "GET /a HTTP");
+        client->stream.end();
+        EXPECT_TRUE(gateway.run_until([&] { return client->is_closed(); }));
+        EXPECT_EQ(gateway.request_count(), 3u) << "the fourth is not complete";
+        EXPECT_EQ(count_of(client->received, "HTTP/1.1 200 OK"), 3u) << client->received;
+    }
+}
+
 TEST(HttpFrontend, AStalledClientCausesBackPressureAndIsClosed) {
     Options options;
     options.listen_fields = "stalled_ms: 600";
--- a/tests/gateway/test_gateway.h
+++ b/tests/gateway/test_gateway.h
@@ -193,6 +193,12 @@
 inline int status(const std::string& response) {
     return response.size() < 12 ? 0 : std::atoi(response.c_str() + 9);
 }
+inline std::size_t count_of(const std::string& text, const std::string& part) {
+    std::size_t count = 0;
+    for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+        ++count;
+    return count;
+}
 inline bool contains(const std::string& text, const std::string& part) {
     return text.find(part) != std::string::npos;
 }
