HTTP: an error response whose body never ends gives its connection back after 1 s

Callers saw 504 for every request to a host that worked again, until the gateway restarted, once 64 of its error responses had not ended.

Cause: an error is reported at its head; the connection then read on to the end of the body without a limit and stayed in use, up to hosts.max_connections.

Evidence: Hosts.AnErrorResponseWhoseBodyNeverEndsGivesItsConnectionBack: before, no request reached the host after the 64th such response, 0 connections were given back in 2 s, and the next request got 504.

Change: a response whose body is not delivered has 1 s from its head.

--- a/src/upstream/http/upstream_connection.cpp
+++ b/src/upstream/http/upstream_connection.cpp
@@ -10,6 +10,11 @@
 #include "upstream/http/response_outcome.h"
 
 namespace silverreach::upstream_http {
+namespace {
+using namespace std::chrono_literals;
+// Longest time from the head of a response to its end if its body is not delivered.
+constexpr Micros discard_timeout = 1s;
+}  // namespace
 
 UpstreamConnection::UpstreamConnection(ConnectionContext& context, upstream::HostConnections& host,
                                        event::Fd fd)
@@ -53,6 +58,11 @@
     after_in_exchange(limit, [this] { fail(Outcome::timeout); });
 }
 
+// A body that nobody reads must not hold its connection, which counts towards the host's limit.
+void UpstreamConnection::start_discard_timer() {
+    after_in_exchange(discard_timeout, [this] { fail(Outcome::error); });
+}
+
 void UpstreamConnection::write_request() {
     const std::uint64_t exchange = exchange_id();
     if (!is_health_check() && !context_.callbacks.begin_send(key())) {
@@ -98,7 +108,11 @@
     if (!head.keep_alive) close_after_response_ = true;
     const config::HostAnswers& rules = context_.config.host_answers();
     mark_response_started();
-    if (!is_health_check()) return report_head(outcome_of(head, rules), report, head);
+    if (!is_health_check()) {
+        if (!report_head(outcome_of(head, rules), report, head)) return false;
+        if (!deliver_body_) start_discard_timer();
+        return true;
+    }
     context_.callbacks.on_health_check_ended(
         {host().host, health_check_outcome(head, rules), elapsed(), report});
     return has_exchange();
--- a/src/upstream/http/upstream_connection.h
+++ b/src/upstream/http/upstream_connection.h
@@ -56,6 +56,7 @@
 
     void start_connect_timer();
     void start_health_check_timer();
+    void start_discard_timer();
     void write_request();
     bool report_head(Outcome outcome, const LoadReport& report, http::Head& head);
     // `has_trailing_bytes`: the host sent bytes after the response or closed its half.
--- a/tests/gateway/host_test.cpp
+++ b/tests/gateway/host_test.cpp
@@ -72,6 +72,29 @@
     EXPECT_EQ(without_key.request_count(), 1u);
 }
 
+// Guards against connections that are held by bodies which nobody reads and which never end, until
+// the host's limit of connections is used up.
+TEST(Hosts, AnErrorResponseWhoseBodyNeverEndsGivesItsConnectionBack) {
+    constexpr int errors = 70;  // over the default of hosts.max_connections
+    TestGateway gateway;
+    ScriptedHost& host = *gateway.hosts[0];
+    int error_count = 0;
+    // One error among five responses leaves the host in use.
+    host.respond = [&](ScriptedHost::Peer& peer, const std::string&) {
+        const bool is_error = error_count < errors && gateway.request_count() % 5 == 0;
+        error_count += is_error;
+        peer.stream.write(is_error ? "HTTP/1.1 503 x\r\nContent-Length: 100\r\n\r\npart"
+                                   : complete_response);
+    };
+    const auto end_time = event::Loop::clock() + 30s;
+    while (error_count < errors && event::Loop::clock() < end_time)
+        gateway.exchange(post_request("/a"), 500ms);
+    EXPECT_EQ(error_count, errors);
+    EXPECT_TRUE(gateway.run_until([&] { return host.ended_count >= error_count; }, 2s))
+        << host.ended_count << " connections were given back";
+    EXPECT_EQ(status(gateway.exchange(post_request("/a"))), 200);
+}
+
 TEST(Hosts, ATruncatedResponseNeverLooksComplete) {
     const std::vector<std::string> truncated_responses = {
         "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\nhalf",
