Connection pool: one check before a connection is used, one ExchangeMover for both protocols

Found on reading the change again.

- take_idle and the end of a rest each decided by themselves whether a connection can still carry a request; both ask ConnectionPool::drop_reason now.
- ExchangeMover stood in both upstreams word for word: a template in common.
- The reading of half_closed stood twice in HttpConnection.
Assertions stay.
The late response test of HTTP runs at a limit of one connection as well, where the exchange waits and moves; no test reached that path over HTTP before.

--- a/src/frontend/http/http_connection.cpp
+++ b/src/frontend/http/http_connection.cpp
@@ -218,6 +218,12 @@
 
 // ---- disconnection --------------------------------------------------------------------------
 
+// If clients may close their side and still wait for the response, a closed side does not mean that
+// the client has disconnected.
+bool HttpConnection::answers_half_closed() const {
+    return context_.config.listen().half_closed() == config::Listen::ANSWER;
+}
+
 void HttpConnection::on_end() {
     half_closed_ = true;
     if (state_ == State::lingering) {
@@ -226,19 +232,13 @@
     }
     // Responses that are still queued reach the client.
     if (state_ == State::reading_head && pending_input_.empty()) return linger();
-    const bool answers_half_closed =
-        context_.config.listen().half_closed() == config::Listen::ANSWER;
-    if (!answers_half_closed) return disconnect();
+    if (!answers_half_closed()) return disconnect();
     // The requests that are in hand are answered; the connection ends after the last one.
     if (is_reading()) process_pending();
 }
 
 void HttpConnection::check_client_connected() {
-    // If clients may close their side and still wait for the response, a closed side does not mean
-    // that the client has disconnected.
-    const bool answers_half_closed =
-        context_.config.listen().half_closed() == config::Listen::ANSWER;
-    if (answers_half_closed || state_ == State::closed || !peer_closed()) return;
+    if (answers_half_closed() || state_ == State::closed || !peer_closed()) return;
     disconnect();
 }
 
--- a/src/frontend/http/http_connection.h
+++ b/src/frontend/http/http_connection.h
@@ -84,7 +84,8 @@
     void linger();           // -> lingering
     void abandon_request();  // -> abandoned, if a request is in flight
     void disconnect();       // -> abandoned -> closed
-    void close();            // -> closed
+    bool answers_half_closed() const;
+    void close();  // -> closed
     void log_access(int status, std::string_view reason);
 
     FrontendContext& context_;
--- a/src/upstream/common/connection_pool.cpp
+++ b/src/upstream/common/connection_pool.cpp
@@ -95,11 +95,8 @@
     while (const auto choice = choose_idle(host, traits)) {
         const auto position = host.idle.begin() + static_cast<std::ptrdiff_t>(choice->index);
         auto connection = extract_ordered(host.idle, position);
-        if (!is_usable(*connection, host)) {
-            ++cumulative_stats_.stale;
-            const event::Stream& stream = connection->stream();
-            if (stream.has_unread_input() && !stream.peer_closed())
-                reuse_rule_.on_late_bytes(loop_.now());
+        if (const auto reason = drop_reason(*connection)) {
+            count_drop(*reason);
             retire(std::move(connection));
             continue;
         }
@@ -134,10 +131,14 @@
     return reuse_rule_.choose(query, idle_at);
 }
 
-bool ConnectionPool::is_usable(const PooledConnection& connection,
-                               const HostConnections& host) const {
-    return loop_.now() - connection.unused_since() < policy_.idle_timeout &&
-           connection.was_opened_to(host.address) && !connection.stream().has_unread_input();
+std::optional<DropReason> ConnectionPool::drop_reason(const PooledConnection& connection) const {
+    if (connection.stream().has_unread_input())
+        return connection.stream().peer_closed() ? DropReason::closed_by_host
+                                                 : DropReason::unsolicited_bytes;
+    const bool timed_out = loop_.now() - connection.unused_since() >= policy_.idle_timeout;
+    if (timed_out || !connection.was_opened_to(connection.host().address))
+        return DropReason::outdated;
+    return std::nullopt;
 }
 
 std::variant<PooledConnection*, AcquireError> ConnectionPool::open_connection(
@@ -195,7 +196,7 @@
 }
 
 void ConnectionPool::count_drop(DropReason reason) {
-    if (reason == DropReason::closed_by_host) {
+    if (reason != DropReason::unsolicited_bytes) {
         ++cumulative_stats_.stale;
         return;
     }
--- a/src/upstream/common/connection_pool.h
+++ b/src/upstream/common/connection_pool.h
@@ -91,6 +91,9 @@
     void drop_unused(PooledConnection& connection, DropReason reason);
     // A connection on which an exchange waited has rested without bytes of its host.
     void on_rest_ended() { reuse_rule_.on_clean_rest(); }
+    // Whether a connection without a request can carry one, by what its socket holds now. Returns
+    // why it cannot.
+    std::optional<DropReason> drop_reason(const PooledConnection& connection) const;
     // Counts a connection in use that is lost before its request is written. Its exchange moves to
     // another connection.
     void count_drop(DropReason reason);
@@ -108,7 +111,6 @@
     PooledConnection* take_idle(HostConnections& host, const ExchangeTraits& traits);
     std::optional<ReuseChoice> choose_idle(const HostConnections& host,
                                            const ExchangeTraits& traits) const;
-    bool is_usable(const PooledConnection& connection, const HostConnections& host) const;
     std::variant<PooledConnection*, AcquireError> open_connection(HostConnections& host);
     event::Fd connect(const config::Endpoint& address, int& error);
     void remove_unused(PooledConnection& connection);
--- a/src/upstream/common/pooled_connection.cpp
+++ b/src/upstream/common/pooled_connection.cpp
@@ -42,11 +42,9 @@
     after_in_exchange(not_before_ - loop_.now(), [this] { end_rest(); });
 }
 
-// The host's bytes may have arrived without having been read yet.
+// The host's bytes may have arrived without having been read yet, or it has a new address.
 void PooledConnection::end_rest() {
-    if (stream_.peer_closed()) return lose_resting(DropReason::closed_by_host);
-    if (stream_.has_unread_input()) return lose_resting(DropReason::unsolicited_bytes);
-    if (!was_opened_to(host_.address)) return move_exchange();
+    if (const auto reason = pool_.drop_reason(*this)) return lose_resting(*reason);
     pool_.on_rest_ended();
     state_ = State::starting;
     exchange_started_ = loop_.now();
--- a/src/upstream/common/pooled_connection.h
+++ b/src/upstream/common/pooled_connection.h
@@ -29,10 +29,11 @@
 struct HostConnections;
 class ConnectionPool;
 
-// Why a connection is lost on which no request is written.
+// Why a connection on which no request is written carries none any more.
 enum class DropReason {
     unsolicited_bytes,
-    closed_by_host
+    closed_by_host,
+    outdated  // idle for too long, or opened to another address of its host
 };
 
 class PooledConnection : public event::StreamOwner {
@@ -67,6 +68,7 @@
     }
     const core::AttemptKey& key() const { return key_; }
     HostConnections& host() { return host_; }
+    const HostConnections& host() const { return host_; }
     event::Stream& stream() { return stream_; }
     const event::Stream& stream() const { return stream_; }
 
--- a/src/upstream/http/upstream_connection.h
+++ b/src/upstream/http/upstream_connection.h
@@ -7,6 +7,7 @@
 
 #include "http/parser.h"
 #include "upstream/common/connection_pool.h"
+#include "upstream/common/exchange_mover.h"
 #include "upstream/http/attempt_callbacks.h"
 #include "upstream/http/upstream_request.h"
 
@@ -14,14 +15,7 @@
 
 class UpstreamConnection;
 using AttemptTable = upstream::AttemptTable<UpstreamConnection>;
-
-// Sends an exchange again whose connection was lost before its request was written.
-class ExchangeMover {
-  public:
-    virtual ~ExchangeMover() = default;
-    virtual void move_exchange(const core::AttemptKey& key, const std::string& host,
-                               std::shared_ptr<const UpstreamRequest> request) = 0;
-};
+using ExchangeMover = upstream::ExchangeMover<UpstreamRequest>;
 
 // Shared by all connections of an Upstream; outlives them.
 struct ConnectionContext {
--- a/src/upstream/resp/upstream_connection.h
+++ b/src/upstream/resp/upstream_connection.h
@@ -11,6 +11,7 @@
 
 #include "platform/request.h"
 #include "upstream/common/connection_pool.h"
+#include "upstream/common/exchange_mover.h"
 #include "upstream/resp/attempt_callbacks.h"
 #include "upstream/resp/response_reader.h"
 #include "upstream/resp/upstream_limits.h"
@@ -19,6 +20,7 @@
 
 class UpstreamConnection;
 using AttemptTable = upstream::AttemptTable<UpstreamConnection>;
+using ExchangeMover = upstream::ExchangeMover<platform::UpstreamCommand>;
 
 // Numbers of replies after which the connection was closed.
 struct ResponseCounters {
@@ -27,14 +29,6 @@
     std::uint64_t stalled = 0;         // begun but not completed in time
 };
 
-// Sends an exchange again whose connection was lost before its request was written.
-class ExchangeMover {
-  public:
-    virtual ~ExchangeMover() = default;
-    virtual void move_exchange(const core::AttemptKey& key, const std::string& host,
-                               std::shared_ptr<const platform::UpstreamCommand> command) = 0;
-};
-
 // Shared by all connections of an Upstream; outlives them.
 struct ConnectionContext {
     event::Loop& loop;
--- a/tests/gateway/host_test.cpp
+++ b/tests/gateway/host_test.cpp
@@ -151,22 +151,27 @@
 }
 
 // Guards against a second response that arrives late and is taken for the next request's response,
-// so that a client is served the body of another.
+// so that a client is served the body of another. At a limit of one connection the next request
+// waits for the rest of that one and moves when the late response arrives.
 TEST(Hosts, ASecondResponseThatArrivesLateIsNotTheNextResponse) {
-    TestGateway gateway;
-    gateway.hosts[0]->respond = [&](ScriptedHost::Peer& peer, const std::string& request) {
-        const std::string path = request.substr(0, request.find(" HTTP"));
-        const auto respond = [&peer, path] {
-            peer.stream.write("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(path.size()) +
-                              "\r\n\r\n" + path);
+    for (const std::string limit : {"", "max_connections: 1"}) {
+        Options options;
+        options.hosts_fields = limit;
+        TestGateway gateway(options);
+        gateway.hosts[0]->respond = [&](ScriptedHost::Peer& peer, const std::string& request) {
+            const std::string path = request.substr(0, request.find(" HTTP"));
+            const auto respond = [&peer, path] {
+                peer.stream.write("HTTP/1.1 200 OK\r\nContent-Length: " +
+                                  std::to_string(path.size()) + "\r\n\r\n" + path);
+            };
+            gateway.loop.after(work_time, respond);
+            gateway.loop.after(work_time + 5ms, respond);
         };
-        gateway.loop.after(work_time, respond);
-        gateway.loop.after(work_time + 5ms, respond);
-    };
-    for (int i = 0; i < 20; ++i) {
-        const std::string path = "/a/" + std::to_string(i);
-        const std::string response = gateway.exchange(TestGateway::get_request(path));
-        EXPECT_TRUE(response.ends_with("\r\n\r\nGET " + path)) << response;
+        for (int i = 0; i < 20; ++i) {
+            const std::string path = "/a/" + std::to_string(i);
+            const std::string response = gateway.exchange(TestGateway::get_request(path));
+            EXPECT_TRUE(response.ends_with("\r\n\r\nGET " + path)) << response;
+        }
     }
 }
 
--- a/tests/gateway/test_gateway.h
+++ b/tests/gateway/test_gateway.h
@@ -71,7 +71,7 @@
 
 struct Options {
     int hosts = 1;
-    std::string listen_fields, extra_config, description;
+    std::string listen_fields, hosts_fields, extra_config, description;
     bool accounts = true;
     int connect_ms = 200, deadline_ms = 1000;
     int unscripted_port = 0;  // of a host on loopback that is not in `hosts`; 0: none
@@ -105,6 +105,7 @@
                               "name: \"wrens\" plan: \"tiny\" key: \"k2\" }\n"
                             : "") +
             R"(hosts { file: "hosts.json" connect_ms: )" + std::to_string(options.connect_ms) +
+            " " + options.hosts_fields +
             R"( }
 attempts { most: 3 second_copies: true }
 host_answers { full { status: 503 header: "Full" } }
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -18,6 +18,16 @@
     return bulk("for " + hex(id));
 }
 constexpr auto work_time = 10ms;  // of a host, longer than a late response is late
+
+// Answers a command after work_time, and once more `delay_of_copy` later.
+void respond_twice(TestNode& node, ScriptedServer::Peer& peer, const Arguments& arguments,
+                   std::chrono::milliseconds delay_of_copy) {
+    const auto respond = [&peer, response = host_response("for " + arguments[2])] {
+        if (!peer.is_closed) peer.stream.write(response);
+    };
+    node.loop.after(work_time, respond);
+    node.loop.after(work_time + delay_of_copy, respond);
+}
 }  // namespace
 
 TEST(Node, ServesAfterStartAndSendsHostsTheRemainingTime) {
@@ -285,12 +295,8 @@
     TestNode node;
     std::chrono::milliseconds delay_of_copy = 0ms;
     node.hosts[0]->respond = [&](ScriptedServer::Peer& peer, const Arguments& arguments) {
-        const auto respond = [&peer, response = host_response("for " + arguments[2])] {
-            if (!peer.is_closed) peer.stream.write(response);
-        };
         delay_of_copy = delay_of_copy % 9ms + 1ms;
-        node.loop.after(work_time, respond);
-        node.loop.after(work_time + delay_of_copy, respond);
+        respond_twice(node, peer, arguments, delay_of_copy);
     };
     for (std::uint64_t id = 1; id <= 50; ++id)
         EXPECT_EQ(node.exchange(query(id), response_to(id).size()), response_to(id));
@@ -301,11 +307,7 @@
 TEST(Node, ASecondResponseToEachRequestOfABusyConnectionIsNotTheNextResponse) {
     TestNode node;
     node.hosts[0]->respond = [&](ScriptedServer::Peer& peer, const Arguments& arguments) {
-        const auto respond = [&peer, response = host_response("for " + arguments[2])] {
-            if (!peer.is_closed) peer.stream.write(response);
-        };
-        node.loop.after(work_time, respond);
-        node.loop.after(work_time + 5ms, respond);
+        respond_twice(node, peer, arguments, 5ms);
     };
     for (std::uint64_t id = 1; id <= 20; ++id)
         EXPECT_EQ(node.exchange(query(id), response_to(id).size()), response_to(id));
--- a/tests/upstream/common/connection_pool_test.cpp
+++ b/tests/upstream/common/connection_pool_test.cpp
@@ -87,6 +87,17 @@
         connection->end();
         pool->release(*connection, reusable);
     }
+    // Starts an exchange on the connection on which another one has just ended.
+    FakeConnection* begin_behind_another() {
+        FakeConnection* connection = begin("a");
+        EXPECT_TRUE(run_until([&] { return !host.accepted.empty(); }));
+        end(connection);
+        EXPECT_EQ(acquire("a"), connection);
+        connection->begin();
+        EXPECT_EQ(connection->state(), State::resting);
+        return connection;
+    }
+    void send_late_byte() const { ASSERT_EQ(::write(host.accepted[0].get(), "x", 1), 1); }
     AcquireError error_of(const std::string& name, const ExchangeTraits& traits = {}) const {
         return std::get<AcquireError>(pool->acquire(name, traits));
     }
@@ -189,12 +200,8 @@
 TEST_F(ConnectionPoolTest, ARequestIsWrittenAfterTheRestOfItsConnection) {
     policy.reuse.rest = 20ms;
     start();
-    FakeConnection* connection = begin("a");
-    const Micros ended_at = loop.now();
-    end(connection);
-    ASSERT_EQ(acquire("a"), connection);
-    connection->begin();
-    EXPECT_EQ(connection->state(), State::resting);
+    FakeConnection* connection = begin_behind_another();
+    const Micros ended_at = *connection->exchange_ended_at();
     EXPECT_FALSE(connection->request_sent());
     ASSERT_TRUE(run_until([&] { return connection->state() == State::awaiting_response; }));
     EXPECT_GE(loop.now() - ended_at, 20ms);
@@ -219,7 +226,7 @@
     connection->begin();
     EXPECT_NE(connection->state(), State::resting) << "three rests were clean";
     end(connection);
-    ASSERT_EQ(::write(host.accepted[0].get(), "x", 1), 1);
+    send_late_byte();
     ASSERT_TRUE(run_until([&] { return pool->stats().unsolicited == 1; }));
     end(begin("b"));
     acquire("b")->begin();
@@ -231,13 +238,9 @@
         policy.reuse.rest = 10s;
         start();
         host.accepted.clear();
-        FakeConnection* connection = begin("a");
-        ASSERT_TRUE(run_until([&] { return host.accepted.size() == 1; }));
-        end(connection);
-        ASSERT_EQ(acquire("a"), connection);
-        connection->begin();
+        begin_behind_another();
         if (sends_bytes)
-            ASSERT_EQ(::write(host.accepted[0].get(), "x", 1), 1);
+            send_late_byte();
         else
             host.accepted.clear();
         EXPECT_TRUE(run_until([&] { return pool->stats().open == 0; }));
@@ -249,13 +252,9 @@
 TEST_F(ConnectionPoolTest, BytesThatAreNotReadYetAtTheEndOfTheRestMoveTheExchange) {
     policy.reuse.rest = 20ms;
     start();
-    FakeConnection* connection = begin("a");
-    ASSERT_TRUE(run_until([&] { return host.accepted.size() == 1; }));
-    end(connection);
-    ASSERT_EQ(acquire("a"), connection);
-    connection->begin();
+    begin_behind_another();
     ::usleep(30'000);
-    ASSERT_EQ(::write(host.accepted[0].get(), "x", 1), 1);
+    send_late_byte();
     EXPECT_TRUE(run_until([&] { return pool->stats().open == 0; }));
     EXPECT_EQ(pool->stats().unsolicited, 1u);
 }
@@ -263,10 +262,7 @@
 TEST_F(ConnectionPoolTest, AnExchangeThatEndsDuringTheRestLeavesItsConnectionToTheNext) {
     policy.reuse.rest = 10s;
     start();
-    FakeConnection* connection = begin("a");
-    end(connection);
-    ASSERT_EQ(acquire("a"), connection);
-    connection->begin();
+    FakeConnection* connection = begin_behind_another();
     end(connection);
     EXPECT_EQ(connection->state(), State::idle);
     EXPECT_EQ(acquire("a"), connection);
@@ -277,10 +273,7 @@
 TEST_F(ConnectionPoolTest, AConnectionToAnOldAddressIsNotUsedAfterItsRest) {
     policy.reuse.rest = 20ms;
     start();
-    FakeConnection* connection = begin("a");
-    end(connection);
-    ASSERT_EQ(acquire("a"), connection);
-    connection->begin();
+    begin_behind_another();
     HostUpdate update = host.update("a");
     ++update.address->port;
     pool->update_hosts(false, {update});
@@ -292,7 +285,7 @@
     start();
     end(begin("a"));
     ASSERT_TRUE(run_until([&] { return host.accepted.size() == 1; }));
-    ASSERT_EQ(::write(host.accepted[0].get(), "x", 1), 1);
+    send_late_byte();
     EXPECT_TRUE(run_until([&] { return pool->stats().open == 0; }, 1s));
     EXPECT_EQ(pool->stats().unsolicited, 1u);
 }
