--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -612,14 +612,14 @@
     // The port on which it listens, read from its log after `mark`.
     int wait_for_port(Loop& loop, const std::string& line, const std::string& mark) const {
         int port = 0;
-        loop.run(10'000, [&] {
+        for (int i = 0; i < 500 && port <= 0 && !has_ended(); ++i) {
+            loop.run(20);
             const std::string log = read_file(log_path_);
             const std::size_t at = log.find(line);
             const std::size_t number = at == std::string::npos ? at : log.find(mark, at);
             if (number != std::string::npos && log.find('\n', number) != std::string::npos)
                 port = std::atoi(log.c_str() + number + mark.size());
-            return port > 0 || has_ended();
-        });
+        }
         if (port <= 0) give_up("the gateway did not start: " + read_file(log_path_));
         return port;
     }
