Connection pool: a connection rests after every exchange, whatever its hosts did before

Cause: ReuseRule trusted all hosts after 100 clean rests and reused connections before their rest was over. The first late bytes then met a waiting request and counted as its response; as no connection was without a request, they were never seen as late. Evidence: counts of a failing run (reused=1267, waited=0 before the first copy) and its record (the foreign value is served before the request has been run); a copy later than the rest, the other hypothesis, is ruled out by the 3 ms.

Change: the trust is removed; the rule has no state. Both protocols use it, so HTTP is mended by the same change.

--- a/src/upstream/common/connection_pool.cpp
+++ b/src/upstream/common/connection_pool.cpp
@@ -101,10 +101,7 @@
             continue;
         }
         ++cumulative_stats_.reused;
-        if (choice->wait > Micros{0})
-            ++cumulative_stats_.waited;
-        else if (choice->rested)
-            reuse_rule_.on_clean_rest();
+        if (choice->wait > Micros{0}) ++cumulative_stats_.waited;
         connection->set_not_before(loop_.now() + choice->wait);
         host.in_use.push_back(std::move(connection));
         return host.in_use.back().get();
@@ -196,12 +193,10 @@
 }
 
 void ConnectionPool::count_drop(DropReason reason) {
-    if (reason != DropReason::unsolicited_bytes) {
+    if (reason == DropReason::unsolicited_bytes)
+        ++cumulative_stats_.unsolicited;
+    else
         ++cumulative_stats_.stale;
-        return;
-    }
-    ++cumulative_stats_.unsolicited;
-    reuse_rule_.on_late_bytes(loop_.now());
 }
 
 void ConnectionPool::remove_unused(PooledConnection& connection) {
--- a/src/upstream/common/connection_pool.h
+++ b/src/upstream/common/connection_pool.h
@@ -89,8 +89,6 @@
     // Called by the connections of this pool:
     void on_pending_connected(PooledConnection& connection);
     void drop_unused(PooledConnection& connection, DropReason reason);
-    // A connection on which an exchange waited has rested without bytes of its host.
-    void on_rest_ended() { reuse_rule_.on_clean_rest(); }
     // Whether a connection without a request can carry one, by what its socket holds now. Returns
     // why it cannot.
     std::optional<DropReason> drop_reason(const PooledConnection& connection) const;
--- a/src/upstream/common/pool_policy.h
+++ b/src/upstream/common/pool_policy.h
@@ -12,9 +12,7 @@
 namespace silverreach::upstream {
 
 // Hosts may send a second response some milliseconds late.
-inline constexpr ReuseSettings default_reuse{.rest = std::chrono::milliseconds(12),
-                                             .guard_duration = std::chrono::minutes(5),
-                                             .clean_rests_to_trust = 100};
+inline constexpr ReuseSettings default_reuse{.rest = std::chrono::milliseconds(12)};
 
 inline constexpr std::size_t unlimited = std::numeric_limits<std::size_t>::max();
 
--- a/src/upstream/common/pooled_connection.cpp
+++ b/src/upstream/common/pooled_connection.cpp
@@ -45,7 +45,6 @@
 // The host's bytes may have arrived without having been read yet, or it has a new address.
 void PooledConnection::end_rest() {
     if (const auto reason = pool_.drop_reason(*this)) return lose_resting(*reason);
-    pool_.on_rest_ended();
     state_ = State::starting;
     exchange_started_ = loop_.now();
     on_ready();
--- a/tests/node/node_test.cpp
+++ b/tests/node/node_test.cpp
@@ -313,6 +313,23 @@
         EXPECT_EQ(node.exchange(query(id), response_to(id).size()), response_to(id));
 }
 
+// Guards against the same where hosts begin to send second copies after many responses without one.
+TEST(Node, ASecondResponseAfterManyWithoutOneIsNotTheNextResponse) {
+    TestNode node;
+    constexpr std::uint64_t responses_without_copy = 120;
+    std::uint64_t next_id = 1;
+    const auto expect_own_responses = [&](std::uint64_t count) {
+        for (const std::uint64_t end = next_id + count; next_id < end; ++next_id)
+            EXPECT_EQ(node.exchange(query(next_id), response_to(next_id).size()),
+                      response_to(next_id));
+    };
+    expect_own_responses(responses_without_copy);
+    node.hosts[0]->respond = [&](ScriptedServer::Peer& peer, const Arguments& arguments) {
+        respond_twice(node, peer, arguments, 5ms);
+    };
+    expect_own_responses(20);
+}
+
 TEST(Node, AMalformedLoadReportIsIgnoredAndTheConnectionReused) {
     TestNode node;
     for (const char* report : {"queue=", "queue=many", "\xff\xfe", "queue=-3", "queue=2", "=,="}) {
