Descriptions and host lists: a number beyond a double is an error and ends no process

Cause: openapi::parse and parse_endpoint_list caught parse_error, the library throws out_of_range. Evidence: the message of the abort names out_of_range.406; with 1000000 the same description is accepted.

Change: both report every error of the library as a problem, and the state in force stays. The grammar check reads numbers as long double, since a bound printed with 15 digits is valid JSON above the largest double, and nothing uses it. Instance::read_description, which runs on a background thread, reports whatever else is thrown. Kin, by reading every reader of JSON: conversions without a defined result (started_unix_ms, cell, boot_ms, memory_mb) and integers that wrapped at 32 bits are errors.

Failed before, on a scratch copy of: Document.ANumberBeyondADoubleDoesNotEndTheProcess, EndpointList.RejectsNumbersOutOfRange, HttpFrontend.ANumberBeyondADoubleInAWatchedFileLosesNoRequest (the process ended), NodeConfig.NumbersOutOfRangeAreErrors, TargetList.NumbersOutOfRangeAreErrors.

--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -111,7 +111,13 @@
         problems.push_back({path, 0, "api.description", "a readable file"});
         return nullptr;
     }
-    return openapi::load(*text, path, config::policy_of(config_), problems);
+    try {
+        return openapi::load(*text, path, config::policy_of(config_), problems);
+    } catch (const std::exception& error) {
+        problems.push_back({path, 0, "document",
+                            std::string("a description that can be read (") + error.what() + ")"});
+        return nullptr;
+    }
 }
 
 // Reads on a background thread, because reading a large description would delay responses too
--- a/src/cli/instance.h
+++ b/src/cli/instance.h
@@ -60,6 +60,8 @@
                           Micros elapsed, const LoadReport& report, int status) override;
     void on_health_check_ended(HealthCheckEnded ended) override;
 
+    // Returns nullptr, with problems appended, where the description is invalid. Does not throw,
+    // because reload() calls it on the background thread.
     std::shared_ptr<const openapi::Description> read_description(
         std::vector<openapi::Problem>& problems) const;
     bool apply_description(std::shared_ptr<const openapi::Description> new_description,
--- a/src/discovery/endpoint_list.cpp
+++ b/src/discovery/endpoint_list.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <cmath>
 #include <nlohmann/json.hpp>
 #include <optional>
 #include <set>
@@ -11,6 +12,7 @@
 namespace {
 using nlohmann::json;
 constexpr std::int64_t max_port = 65535;
+constexpr double max_exact_integer = 9007199254740992;  // 2^53
 
 // The JSON mapping of protobuf accepts a field name in camel case and as declared in the schema.
 const json* find_field(const json& object, const char* camel_case, const char* snake_case) {
@@ -167,10 +169,10 @@
                       std::int64_t& number) {
         const json* value = find_field(metadata, name);
         if (!value) return;
-        if (value->is_number())
+        if (value->is_number() && std::abs(value->get<double>()) <= max_exact_integer)
             number = static_cast<std::int64_t>(value->get<double>());
         else
-            report(field + ".metadata." + name, "a number");
+            report(field + ".metadata." + name, "a number from -2^53 to 2^53");
     }
 
     const std::string& source_;
@@ -197,6 +199,9 @@
         problems.push_back({source, line_at(text, error.byte), "document",
                             std::string("valid JSON: ") + error.what()});
         return false;
+    } catch (const json::exception& error) {  // a number beyond the range of a double
+        problems.push_back({source, 0, "document", std::string("valid JSON: ") + error.what()});
+        return false;
     }
     EndpointListParser(source, problems, list).parse_document(root, cluster);
     return problems.size() == problems_before;
--- a/src/event/background_task.h
+++ b/src/event/background_task.h
@@ -19,7 +19,8 @@
     BackgroundTask& operator=(const BackgroundTask&) = delete;
     bool is_busy() const { return busy_; }
     // Calls `work` on a separate thread, then `on_done` on the loop's thread. `work` must not
-    // access data that the loop's thread uses. May only be called while is_busy() is false.
+    // access data that the loop's thread uses, nor throw. May only be called while is_busy() is
+    // false.
     void run(std::function<void()> work, std::function<void()> on_done);
 
   private:
--- a/src/openapi/document.cpp
+++ b/src/openapi/document.cpp
@@ -14,6 +14,30 @@
 constexpr int max_depth = 64;
 constexpr std::size_t max_values = 2'000'000, max_unindexed_members = 16;
 
+// Programs that print a bound with 15 digits round it to above the largest double, which JSON
+// allows. Such numbers are in schemas, which no rule of this program uses.
+using WideJson = nlohmann::basic_json<std::map, std::vector, std::string, bool, std::int64_t,
+                                      std::uint64_t, long double>;
+
+// Checks the grammar of JSON. Returns false, with a problem appended, where it is violated or a
+// number cannot be represented.
+bool check_json(std::string_view text, const std::string& file, std::vector<Problem>& problems) {
+    int line = 0;
+    std::string reason;
+    try {
+        [[maybe_unused]] const auto json = WideJson::parse(text);
+        return true;
+    } catch (const WideJson::parse_error& error) {
+        const auto before_error = text.substr(0, std::min(text.size(), error.byte));
+        line = 1 + static_cast<int>(std::count(before_error.begin(), before_error.end(), '\n'));
+        reason = error.what();
+    } catch (const WideJson::exception& error) {
+        reason = error.what();
+    }
+    problems.push_back({file, line, "document", fmt::format("valid JSON ({})", reason)});
+    return false;
+}
+
 struct Converter {
     const std::string& file;
     std::vector<Problem>& problems;
@@ -126,18 +150,8 @@
     // rejects text that is valid YAML but not valid JSON.
     const std::size_t first_character = text.find_first_not_of(" \t\r\n");
     if (first_character != std::string_view::npos &&
-        (text[first_character] == '{' || text[first_character] == '[')) {
-        try {
-            [[maybe_unused]] const auto json = nlohmann::json::parse(text);
-        } catch (const nlohmann::json::parse_error& error) {
-            const auto before_error = text.substr(0, std::min(text.size(), error.byte));
-            const int line =
-                1 + static_cast<int>(std::count(before_error.begin(), before_error.end(), '\n'));
-            problems.push_back(
-                {file, line, "document", fmt::format("valid JSON ({})", error.what())});
-            return false;
-        }
-    }
+        (text[first_character] == '{' || text[first_character] == '['))
+        if (!check_json(text, file, problems)) return false;
     try {
         const std::vector<YAML::Node> documents = YAML::LoadAll(std::string(text));
         if (documents.size() != 1) {
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -10,6 +10,7 @@
 namespace silverreach::platform {
 namespace {
 namespace json = silverreach::settings_json;
+constexpr double max_memory_mb = 1e12;
 
 [[noreturn]] void fail(std::string_view name, std::string_view expected) {
     throw std::invalid_argument(std::string(name) + ": expected " + std::string(expected));
@@ -36,12 +37,17 @@
     return seed;
 }
 
+std::int64_t read_memory_mb(json::element element) {
+    const double megabytes = json::as_number(element, "memory_mb");
+    if (!(megabytes >= 1 && megabytes <= max_memory_mb))
+        fail("limits.memory_mb", "a number above 0, of megabytes that a machine can have");
+    return static_cast<std::int64_t>(megabytes);
+}
+
 void read_limits(json::object object, NodeLimits& limits) {
-    auto memory_mb = static_cast<double>(limits.memory_mb);
-    json::read(object, "memory_mb", memory_mb);
+    if (const auto value = json::find_value(object, "memory_mb"))
+        limits.memory_mb = read_memory_mb(*value);
     json::read(object, "sockets", limits.sockets);
-    limits.memory_mb = static_cast<std::int64_t>(memory_mb);
-    if (limits.memory_mb < 1) fail("limits.memory_mb", "a number above 0");
     if (limits.sockets < 32) fail("limits.sockets", "32 or more");
 }
 
--- a/src/platform/targets.cpp
+++ b/src/platform/targets.cpp
@@ -26,7 +26,7 @@
         target.entry.cell = json::as_integer(*value, "pod_group");
     json::read(object, "capacity_hint", target.entry.weight);
     if (const auto value = json::find_value(object, "boot_ms"))
-        target.entry.started_at = std::chrono::milliseconds(json::as_integer(*value, "boot_ms"));
+        target.entry.started_at = json::as_milliseconds(*value, "boot_ms");
     if (const auto value = json::find_value(object, "endpoint"))
         target.endpoint = config::parse_endpoint(json::as_text(*value, "endpoint"));
     if (!target.endpoint && target.entry.status != EndpointStatus::removed)
--- a/src/settings_json/json_reader.cpp
+++ b/src/settings_json/json_reader.cpp
@@ -1,11 +1,17 @@
 #include "settings_json/json_reader.h"
 
+#include <chrono>
 #include <cmath>
+#include <cstdlib>
+#include <limits>
+#include <utility>
 
 namespace silverreach::settings_json {
 namespace {
 // Below 2^62, so that the conversion from double to std::int64_t is exact.
 constexpr double max_integer = 4e18;
+// Its microseconds fit into 64 bits.
+constexpr std::int64_t max_milliseconds = std::numeric_limits<std::int64_t>::max() / 1000;
 
 template <class T>
 T as(element value, std::string_view name, std::string_view expected) {
@@ -33,6 +39,19 @@
     return static_cast<std::int64_t>(number);
 }
 
+int as_int(element value, std::string_view name) {
+    const std::int64_t integer = as_integer(value, name);
+    if (!std::in_range<int>(integer)) throw ValueError(name, "an integer of 32 bits");
+    return static_cast<int>(integer);
+}
+
+Micros as_milliseconds(element value, std::string_view name) {
+    const std::int64_t milliseconds = as_integer(value, name);
+    if (std::abs(milliseconds) > max_milliseconds)
+        throw ValueError(name, "a number of milliseconds");
+    return std::chrono::milliseconds(milliseconds);
+}
+
 std::uint64_t as_unsigned(element value, std::string_view name) {
     return as<std::uint64_t>(value, name, "a non-negative integer");
 }
@@ -71,8 +90,7 @@
 }
 
 void read(object parent, std::string_view key, int& target) {
-    if (const auto value = find_value(parent, key))
-        target = static_cast<int>(as_integer(*value, key));
+    if (const auto value = find_value(parent, key)) target = as_int(*value, key);
 }
 
 void read(object parent, std::string_view key, bool& target) {
--- a/src/settings_json/json_reader.h
+++ b/src/settings_json/json_reader.h
@@ -28,6 +28,8 @@
 double as_number(element value, std::string_view name);
 // Also accepts a floating-point number without a fraction, such as 3.0.
 std::int64_t as_integer(element value, std::string_view name);
+int as_int(element value, std::string_view name);  // as_integer, of the range of an int
+Micros as_milliseconds(element value, std::string_view name);
 std::uint64_t as_unsigned(element value, std::string_view name);
 // The result is valid until the parser of the value parses another document or is destroyed.
 std::string_view as_text(element value, std::string_view name);
--- a/src/settings_json/settings_json.cpp
+++ b/src/settings_json/settings_json.cpp
@@ -71,9 +71,8 @@
 }
 
 void read_fleet_position(object source, Settings& settings) {
-    settings.rank = static_cast<int>(as_integer(require_value(source, "rank"), "rank"));
-    settings.instance_count =
-        static_cast<int>(as_integer(require_value(source, "instances"), "instances"));
+    settings.rank = as_int(require_value(source, "rank"), "rank");
+    settings.instance_count = as_int(require_value(source, "instances"), "instances");
     if (const auto zone = find_value(source, "locality"))
         settings.zone = as_text(*zone, "locality");
 }
--- a/tests/gateway/http_test.cpp
+++ b/tests/gateway/http_test.cpp
@@ -312,6 +312,31 @@
     EXPECT_EQ(status(gateway.exchange(TestGateway::get_request("/worse"))), 404);
 }
 
+// Guards against a description or a list of hosts with a number beyond a double that ends a
+// running gateway, so that requests in flight are lost.
+TEST(HttpFrontend, ANumberBeyondADoubleInAWatchedFileLosesNoRequest) {
+    TestGateway gateway;
+    gateway.hosts[0]->respond = [&](ScriptedHost::Peer& peer, const std::string&) {
+        gateway.loop.after(400ms, [&peer] {
+            peer.stream.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+        });
+    };
+    auto client = gateway.connect();
+    client->stream.write(TestGateway::get_request("/a"));
+    ASSERT_TRUE(gateway.run_until([&] { return gateway.request_count() == 1; }));
+    gateway.write_description(
+        R"({"openapi": "3.1.0", "x-silverreach-class": "read", "x-silverreach-units": 1,
+"paths": {"/new": {"get": {"x-limit": 1e99999}}}})");
+    EXPECT_FALSE(gateway.reload());
+    gateway.write(
+        "hosts.json",
+        R"({"clusterName":"hosts","endpoints":[{"lbEndpoints":[{"loadBalancingWeight":1e400}]}]})");
+    gateway.run_until([&] { return client->is_closed(); });
+    EXPECT_EQ(status(client->received), 200);
+    EXPECT_EQ(status(gateway.exchange(TestGateway::get_request("/a"))), 200)
+        << "the old description and the old list stay in use";
+}
+
 TEST(HttpFrontend, RejectionsStateTheReasonAndARetryDelay) {
     TestGateway gateway;
     std::string response;
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -254,6 +254,29 @@
     }
 }
 
+// Guards against numbers out of range that end the process or have no defined conversion.
+TEST(EndpointList, RejectsNumbersOutOfRange) {
+    const auto list = [](const std::string& fields) {
+        return R"({"clusterName":"hosts","endpoints":[{"lbEndpoints":[{"endpoint":{"address":{"socketAddress":{"address":"1.2.3.4","portValue":1}}},)" +
+               fields + "}]}]}";
+    };
+    const auto metadata = [](const std::string& field) {
+        return R"("metadata":{"filterMetadata":{"silverreach":{)" + field + "}}}";
+    };
+    discovery::EndpointList parsed;
+    std::vector<openapi::Problem> problems;
+    ASSERT_TRUE(discovery::parse_endpoint_list(list(R"("loadBalancingWeight":2)"), "s", "hosts",
+                                               parsed, problems));
+    for (const std::string& fields :
+         {std::string(R"("loadBalancingWeight":1e400)"), metadata(R"("started_unix_ms":1e300)"),
+          metadata(R"("started_unix_ms":-1e300)"), metadata(R"("cell":1e19)")}) {
+        problems.clear();
+        EXPECT_FALSE(discovery::parse_endpoint_list(list(fields), "s", "hosts", parsed, problems))
+            << fields;
+        EXPECT_FALSE(problems.empty());
+    }
+}
+
 TEST(StartTimeConverter, ConvertsAStartOnce) {
     discovery::StartTimeConverter converter;
     const Micros first = converter.convert("a", 1000, Micros(50'000'000), 3000);
--- a/tests/openapi/openapi_test.cpp
+++ b/tests/openapi/openapi_test.cpp
@@ -33,6 +33,25 @@
 }
 }  // namespace
 
+// Guards against a number beyond a double that ends the process.
+TEST(Document, ANumberBeyondADoubleDoesNotEndTheProcess) {
+    const auto description_with = [](const std::string& bound) {
+        return R"({"openapi": "3.1.0", "x-silverreach-class": "read", "x-silverreach-units": 1,
+ "paths": {"/a": {"get": {"parameters": [{"name": "n", "in": "query",
+   "schema": {"type": "number", "maximum": )" +
+               bound + "}}]}}}}";
+    };
+    for (const char* bound : {"1e300", "1.79769313486232e+308", "-1.79769313486232e+308"}) {
+        const auto loaded = load_with(description_with(bound));
+        ASSERT_TRUE(loaded.description) << bound;
+        EXPECT_TRUE(loaded.find(Method::get, "/a")) << bound;
+    }
+    const auto loaded = load_with(description_with("1e99999"));
+    EXPECT_FALSE(loaded.description);
+    EXPECT_TRUE(loaded.has_problem(0, "valid JSON"));
+    EXPECT_TRUE(loaded.has_problem(0, "1e99999"));
+}
+
 TEST(Routes, LiteralsMatchBeforeTemplates) {
     const auto loaded = load_with(header + R"(paths:
   /pets/{id}: {parameters: [{name: id, in: path, required: true}], get: {operationId: one}}
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -57,6 +57,32 @@
     EXPECT_EQ(config.initial_list.targets[0].entry.cell, 3);
 }
 
+// Guards against numbers out of range that wrap or have no defined conversion.
+TEST(NodeConfig, NumbersOutOfRangeAreErrors) {
+    const std::string valid = node_test::config_json();
+    const auto with_limit = [&](const std::string& name, const std::string& number) {
+        const auto start = valid.find("\"" + name + "\":") + name.size() + 3;
+        const auto end = valid.find_first_of(",}", start);
+        return valid.substr(0, start) + number + valid.substr(end);
+    };
+    EXPECT_EQ(error_of(with_limit("sockets", "4294967552")),
+              "sockets: expected an integer of 32 bits");
+    EXPECT_TRUE(error_of(with_limit("memory_mb", "1e30")).starts_with("limits.memory_mb"));
+    EXPECT_TRUE(error_of(with_limit("memory_mb", "-1e30")).starts_with("limits.memory_mb"));
+    EXPECT_EQ(error_of(with_limit("sockets", "1e400")), "configuration: expected one JSON object");
+}
+
+TEST(TargetList, NumbersOutOfRangeAreErrors) {
+    const auto list = [](const std::string& boot_ms) {
+        return R"({"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:1","az":"a","model":"m","pod_group":3,"state":"ready","capacity_hint":1,"boot_ms":)" +
+               boot_ms + "}]}";
+    };
+    EXPECT_TRUE(read_targets(list("1790000000000")));
+    EXPECT_FALSE(read_targets(list("4611686018427387904")));
+    EXPECT_FALSE(read_targets(list("-4611686018427387904")));
+    EXPECT_FALSE(read_targets(list("1e400")));
+}
+
 TEST(NodeConfig, ErrorsNameTheKey) {
     const std::string good = node_test::config_json();
     EXPECT_NE(error_of("{").find("one JSON object"), std::string::npos);
