RESP: the limit for an unfinished command runs only while the client holds it up

Cause: the limit of 2 s ran while the input was not empty and commands could be read, but unread responses of 256 KiB, for which commands are deferred as well, were not among the conditions. Its start was the last consumed command, so time counted in which the connection did not read.

Change: unfinished_since_ is set and cleared in update_reading alone, by must_defer_commands() and the parser's result. Kin: a command whose first bytes arrived while 64 responses were pending failed as soon as the connection read again.

Failed before, on a scratch copy of: SlowReader.CommandsWaitingForAClientThatReadsNothingAreAnswered (78 of 216 responses), SlowReader.ACommandMayBeFinishedAfterTheNodeReadsAgain.

--- a/src/frontend/resp/resp_connection.cpp
+++ b/src/frontend/resp/resp_connection.cpp
@@ -11,7 +11,7 @@
 using namespace std::chrono_literals;
 namespace wire = silverreach::resp;
 constexpr Micros first_command_timeout = 2s;
-constexpr Micros command_timeout = 2s;  // from a command's first byte
+constexpr Micros command_timeout = 2s;  // from the time at which only the client holds it up
 constexpr Micros idle_timeout = 8s;
 constexpr Micros unread_timeout = 5s;
 constexpr Micros linger_timeout = 300ms;
@@ -119,7 +119,7 @@
     // The bytes after a malformed frame cannot be parsed as commands.
     if (input_.empty() || state_ != State::open) return drop_input();
     update_buffer_budget();
-    if (consumed > 0 || incomplete_since_ == 0us) incomplete_since_ = loop().now();
+    if (consumed > 0) unfinished_since_.reset();
 }
 
 void RespConnection::drop_input() {
@@ -127,7 +127,7 @@
     if (input_.capacity() > idle_input_capacity) input_.shrink_to_fit();
     update_buffer_budget();
     arrivals().consume_all();
-    incomplete_since_ = 0us;
+    unfinished_since_.reset();
 }
 
 // Ends the connections with most of an unfinished command until the budget is kept. Commands that
@@ -156,10 +156,15 @@
 // Reads ahead of the capacity for responses, so that the client's close is detected behind waiting
 // commands, but not while all connections together exceed the buffer budget.
 void RespConnection::update_reading() {
+    const bool deferred = must_defer_commands();
     std::size_t max_buffered = wire::ParseLimits{}.max_message_bytes;
-    if (must_defer_commands())
-        max_buffered = context_.buffer_budget.exceeded() ? 0 : max_read_ahead_bytes;
+    if (deferred) max_buffered = context_.buffer_budget.exceeded() ? 0 : max_read_ahead_bytes;
     stream().set_reading(input_.size() <= max_buffered);
+    // While commands are deferred, the connection holds up the command and not the client.
+    if (deferred || !has_unfinished_command_)
+        unfinished_since_.reset();
+    else if (!unfinished_since_)
+        unfinished_since_ = loop().now();
 }
 
 void RespConnection::handle_command(const std::vector<std::string_view>& arguments, Micros waited) {
@@ -259,13 +264,9 @@
         case Wait::drain:
             if (!is_drained()) return std::nullopt;
             return PendingWait{loop().now(), 0us};
-        case Wait::message_completion: {
-            // Does not apply while complete commands wait to be handled.
-            const bool may_read =
-                state_ == State::open && !throttled_ && responses_.size() < max_responses;
-            if (input_.empty() || !may_read || incomplete_since_ == 0us) return std::nullopt;
-            return PendingWait{incomplete_since_, command_timeout};
-        }
+        case Wait::message_completion:
+            if (state_ != State::open || !unfinished_since_) return std::nullopt;
+            return PendingWait{*unfinished_since_, command_timeout};
         case Wait::response_read:
             if (unread_since_ == 0us) return std::nullopt;
             return PendingWait{unread_since_, unread_timeout};
--- a/src/frontend/resp/resp_connection.h
+++ b/src/frontend/resp/resp_connection.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -94,8 +95,10 @@
     bool reading_commands_ = false;  // keeps on_response from re-entering read_commands
     std::uint64_t commands_ = 0;
     Micros opened_at_;
-    Micros incomplete_since_{0};  // of an unfinished command; 0: none
-    Micros unread_since_{0};      // of responses that the client has not read; 0: none
+    // Since when the input begins with an unfinished command that the client can complete; none:
+    // there is none, or commands are deferred.
+    std::optional<Micros> unfinished_since_;
+    Micros unread_since_{0};  // of responses that the client has not read; 0: none
     std::size_t discarded_bytes_ = 0;
 };
 
--- /dev/null
+++ b/tests/node/slow_reader_test.cpp
@@ -0,0 +1,95 @@
+// Clients that take their responses late or slowly, with commands that wait meanwhile. Every
+// command that has arrived gets a response.
+#include <sys/socket.h>
+
+#include "tests/node/test_node.h"
+
+using namespace node_test;
+
+namespace {
+// More than the systems of both sides hold for a client that reads nothing.
+constexpr std::size_t value_bytes = 500'000;
+constexpr std::uint64_t long_value_count = 16;
+
+std::string ping() {
+    return "*1\r\n$4\r\nPING\r\n";
+}
+std::string repeat(const std::string& text, std::size_t count) {
+    std::string repeated;
+    for (std::size_t i = 0; i < count; ++i)
+        repeated += text;
+    return repeated;
+}
+std::string long_queries() {
+    std::string bytes;
+    for (std::uint64_t id = 1; id <= long_value_count; ++id)
+        bytes += query(id);
+    return bytes;
+}
+void respond_with_long_values(TestNode& node) {
+    for (auto& host : node.hosts)
+        host->respond = [](ScriptedServer::Peer& peer, const Arguments& arguments) {
+            std::string value = "for " + arguments[2];
+            value.resize(value_bytes, 'x');
+            peer.stream.write(host_response(value));
+        };
+}
+// The number of complete responses: bulk strings, errors and status lines.
+std::size_t count_responses(const std::string& bytes) {
+    std::size_t count = 0;
+    for (std::size_t position = 0; position < bytes.size(); ++count) {
+        const std::size_t line_end = bytes.find("\r\n", position);
+        if (line_end == std::string::npos) break;
+        const std::size_t body =
+            bytes[position] == '$' ? std::stoul(bytes.substr(position + 1, 9)) + 2 : 0;
+        position = line_end + 2 + body;
+        if (position > bytes.size()) break;
+    }
+    return count;
+}
+}  // namespace
+
+// Guards against whole commands that are dropped, as if unfinished, where the client takes nothing
+// for longer than a command may take.
+TEST(SlowReader, CommandsWaitingForAClientThatReadsNothingAreAnswered) {
+    constexpr std::size_t ping_count = 200;
+    TestNode node({.hosts = 4});
+    respond_with_long_values(node);
+    const auto client = node.connect();
+    client->stream.write(long_queries() + repeat(ping(), ping_count));
+    client->stream.set_reading(false);
+    node.run_for(2600ms);
+    client->stream.set_reading(true);
+    node.run_until([&] {
+        return client->is_closed() ||
+               count_responses(client->received) == long_value_count + ping_count;
+    });
+    EXPECT_EQ(count_responses(client->received), long_value_count + ping_count);
+    EXPECT_FALSE(client->is_closed());
+    EXPECT_EQ(client->received.find("-ERR"), std::string::npos);
+}
+
+// Guards against a command that counts as unfinished for the time in which the node did not read
+// it, because responses to earlier commands were pending.
+TEST(SlowReader, ACommandMayBeFinishedAfterTheNodeReadsAgain) {
+    constexpr std::size_t ping_count = 63;  // with the request, as many responses as may be pending
+    constexpr auto response_delay = 1400ms;
+    TestNode node;
+    node.hosts[0]->respond = [&](ScriptedServer::Peer& peer, const Arguments& arguments) {
+        node.loop.after(
+            arguments[2] == hex(1) ? response_delay : 0ms,
+            [&peer, value = "for " + arguments[2]] { peer.stream.write(host_response(value)); });
+    };
+    const std::string last = submit(2, std::string(60'000, 's'));
+    const auto client = node.connect();
+    client->stream.write(submit(1, "b") + repeat(ping(), ping_count) + last.substr(0, 50'000));
+    ASSERT_TRUE(
+        node.run_until([&] { return count_responses(client->received) == 1 + ping_count; }));
+    // More than a command may take since its first byte, and less since the node reads again.
+    node.run_for(900ms);
+    EXPECT_FALSE(client->is_closed()) << client->received;
+    client->stream.write(last.substr(50'000));
+    node.run_until(
+        [&] { return client->is_closed() || count_responses(client->received) == 2 + ping_count; });
+    EXPECT_TRUE(client->received.ends_with(bulk("for " + hex(2)))) << client->received;
+}
