RESP: a client that reads slowly is not closed as one that reads nothing

What callers saw: a client that reads 100 KB/s loses its connection after 5 s, with the whole commands that wait on it.

Cause: the limit of 5 s ran from the time at which the queue became non-empty until it was empty, whatever the client read in between; the system takes bytes of the queue in steps of megabytes.

Change: the limit runs from the last progress of the queue, acknowledged bytes included, as HTTP has done it; check_timeouts of both protocols updates it.

Failed before (this tree without the change): SlowReader.AClientThatReadsSlowlyKeepsItsConnection, 8 of 100 responses. After: it passes, with the other SlowReader and Endings tests and 17 gateway tests on responses and drains.

--- a/src/frontend/common/client_connection.cpp
+++ b/src/frontend/common/client_connection.cpp
@@ -22,6 +22,7 @@
         Wait::client_close, Wait::first_message,      Wait::idle,
         Wait::drain,        Wait::message_completion, Wait::response_read};
     if (stream_.closed()) return;
+    stream_.update_queue_progress();
     const Micros now = loop_.now();
     for (const Wait wait : order) {
         const auto pending = pending_wait(wait);
--- a/src/frontend/http/http_connection.cpp
+++ b/src/frontend/http/http_connection.cpp
@@ -333,7 +333,6 @@
 
 // Checks less often while idle, so that ten thousand idle clients cost little.
 void HttpConnection::check_timeouts_periodically() {
-    stream().update_queue_progress();
     check_timeouts();
     if (state_ == State::closed) return;
     const config::Listen& listen = context_.config.listen();
--- a/src/frontend/resp/resp_connection.cpp
+++ b/src/frontend/resp/resp_connection.cpp
@@ -13,7 +13,7 @@
 constexpr Micros first_command_timeout = 2s;
 constexpr Micros command_timeout = 2s;  // from the time at which only the client holds it up
 constexpr Micros idle_timeout = 8s;
-constexpr Micros unread_timeout = 5s;
+constexpr Micros unread_timeout = 5s;  // without any progress of the client
 constexpr Micros linger_timeout = 300ms;
 constexpr Micros response_margin = 5ms;  // reserved for the response's transfer and this loop
 constexpr std::size_t max_responses = 64;
@@ -232,15 +232,10 @@
         start_wait(loop().now());
         stream().write(out);
     }
-    if (stream().queued_bytes() == 0)
-        unread_since_ = 0us;
-    else if (unread_since_ == 0us)
-        unread_since_ = loop().now();
     if (is_drained()) linger(end_reason());
 }
 
 void RespConnection::on_drained() {
-    unread_since_ = 0us;
     if (is_drained()) return linger(end_reason());
     if (!input_.empty())
         resume();
@@ -268,8 +263,8 @@
             if (state_ != State::open || !unfinished_since_) return std::nullopt;
             return PendingWait{*unfinished_since_, command_timeout};
         case Wait::response_read:
-            if (unread_since_ == 0us) return std::nullopt;
-            return PendingWait{unread_since_, unread_timeout};
+            if (stream().queued_bytes() == 0) return std::nullopt;
+            return PendingWait{stream().queue_progress_at(), unread_timeout};
     }
     return std::nullopt;
 }
@@ -342,7 +337,6 @@
     state_ = State::lingering;
     report_close(reason);
     start_wait(loop().now());
-    unread_since_ = 0us;
     drop_input();
     start_lingering_close();
 }
--- a/src/frontend/resp/resp_connection.h
+++ b/src/frontend/resp/resp_connection.h
@@ -98,7 +98,6 @@
     // Since when the input begins with an unfinished command that the client can complete; none:
     // there is none, or commands are deferred.
     std::optional<Micros> unfinished_since_;
-    Micros unread_since_{0};  // of responses that the client has not read; 0: none
     std::size_t discarded_bytes_ = 0;
 };
 
--- a/tests/node/slow_reader_test.cpp
+++ b/tests/node/slow_reader_test.cpp
@@ -2,6 +2,8 @@
 // command that has arrived gets a response.
 #include <sys/socket.h>
 
+#include <cerrno>
+
 #include "tests/node/test_node.h"
 
 using namespace node_test;
@@ -26,6 +28,13 @@
         bytes += query(id);
     return bytes;
 }
+// Reads some of what waits at a client whose stream does not read. Returns false at the end.
+bool read_some(Client& client, std::size_t max_bytes) {
+    std::string buffer(max_bytes, 0);
+    const ssize_t size = ::recv(client.stream.fd(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+    if (size > 0) client.received.append(buffer, 0, static_cast<std::size_t>(size));
+    return size > 0 || (size < 0 && errno == EAGAIN);
+}
 void respond_with_long_values(TestNode& node) {
     for (auto& host : node.hosts)
         host->respond = [](ScriptedServer::Peer& peer, const Arguments& arguments) {
@@ -93,3 +102,31 @@
         [&] { return client->is_closed() || count_responses(client->received) == 2 + ping_count; });
     EXPECT_TRUE(client->received.ends_with(bulk("for " + hex(2)))) << client->received;
 }
+
+// Guards against a connection that is closed, with the commands on it, as if its client read
+// nothing, because the system takes the next bytes of its queue only after megabytes of reading.
+TEST(SlowReader, AClientThatReadsSlowlyKeepsItsConnection) {
+    constexpr std::size_t ping_count = 100;
+    constexpr std::size_t argument_bytes = 60'000;
+    constexpr std::size_t read_bytes = 10'000;
+    constexpr auto read_interval = 100ms;
+    std::string echo;
+    resp::append_array(echo, 2);
+    resp::append_bulk(echo, "PING");
+    resp::append_bulk(echo, std::string(argument_bytes, 'p'));
+    TestNode node;
+    const auto client = node.connect();
+    client->stream.set_reading(false);
+    client->stream.write(repeat(echo, ping_count));
+    node.run_for(300ms);
+    bool is_open = true;
+    for (const auto end = event::Loop::clock() + 8s; is_open && event::Loop::clock() < end;) {
+        is_open = read_some(*client, read_bytes);
+        node.run_for(read_interval);
+    }
+    EXPECT_TRUE(is_open);
+    client->stream.set_reading(true);
+    node.run_until(
+        [&] { return client->is_closed() || count_responses(client->received) == ping_count; });
+    EXPECT_EQ(count_responses(client->received), ping_count);
+}
