Quotas: the state of customers is bounded; names beyond the limit share one quota per plan

On node 46,000 names in 5 s took the process from 8 to 43 MB, at a limit of 64 MB that a minute of it passes.

Cause: QuotaManager and LeaseLedger add an entry for each name and remove it after 60 s without a request, whatever their number.

Change: Settings::max_customers. At the limit, customers whose dropped state would give them no unit more (idle, rate store not overdrawn, ceiling full; at the owner: pool full, no standing lease) are removed, those idle for longer first; where that makes no room, names without state share one account per plan, and an owner grants nothing to unknown ones for a second.

--- a/include/silverreach/interface.h
+++ b/include/silverreach/interface.h
@@ -86,7 +86,10 @@
     bool may_health_check = false;
     bool may_message_peers = false;
     bool may_send_retry_after = false;
-    Micros max_retry_after{0};                 // longest Retry-After; 0: no limit
+    Micros max_retry_after{0};  // longest Retry-After; 0: no limit
+    // Number of customers whose state is kept, each at some 1 KiB; at least 1. Customers beyond it
+    // share one quota per plan until there is room.
+    std::size_t max_customers = 100'000;
     double peer_messages_per_second = 0;       // accepted by one instance from all peers together
     bool units_corrected_by_response = false;  // AttemptEnded::actual_units replaces the estimate
     LoadReportMode load_report_mode = LoadReportMode::none;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -73,6 +73,8 @@
     Tree* root_;
 };
 
+constexpr std::int64_t min_buffered_bytes = 65536;
+
 void check_listen(Validator& validator, const Config& config) {
     auto* tree = Validator::nested_tree(validator.root(), config, "listen", -1);
     const Listen& listen = config.listen();
@@ -87,6 +89,9 @@
                                256);
     validator.require_at_least(tree, listen, "max_body_bytes", "listen.", listen.max_body_bytes(),
                                0);
+    validator.require_at_least(tree, listen, "max_customers", "listen.", listen.max_customers(), 1);
+    validator.require_at_least<std::int64_t>(tree, listen, "max_buffered_bytes", "listen.",
+                                             listen.max_buffered_bytes(), min_buffered_bytes);
     for (const auto& [name, value] :
          {std::pair{"head_ms", listen.head_ms()}, std::pair{"body_ms", listen.body_ms()},
           std::pair{"idle_ms", listen.idle_ms()}, std::pair{"stalled_ms", listen.stalled_ms()}})
@@ -326,6 +331,7 @@
         settings.plans.push_back({plan.name(), plan.rate(), plan.burst(), plan.max_open(),
                                   plan.worth_factor(), plan.excess_worth(), plan.excess_cost(),
                                   plan.hard_rate(), plan.hard_burst()});
+    settings.max_customers = static_cast<std::size_t>(config.listen().max_customers());
     settings.max_attempts = config.attempts().most();
     settings.may_hedge = config.attempts().second_copies();
     settings.may_cancel = config.attempts().cancel();
--- a/src/decisions/quota/customer_quota.cpp
+++ b/src/decisions/quota/customer_quota.cpp
@@ -263,6 +263,17 @@
     ceiling_units_ += grant.ceiling_units;
 }
 
+bool CustomerQuota::is_replenished() const {
+    if (open_requests > 0 || pending_lease.is_in_flight() || pending_lease.is_renewal_scheduled)
+        return false;
+    const Plan* const plan = this->plan();
+    if (plan == nullptr) return true;
+    const double accrued_units =
+        seconds(context_.now - refilled_at_) * even_ceiling_share(plan->ceiling_rate, subset_.size);
+    return units_ >= 0 && reserved_ceiling_units_ <= 0 &&
+           ceiling_units_ + accrued_units >= even_ceiling_share(plan->ceiling_burst, subset_.size);
+}
+
 bool CustomerQuota::should_return_lease() const {
     return has_standing_lease() && context_.now - lease_requested_at_ >= min_lease_hold_time &&
            demand_rate() <= 0;
--- a/src/decisions/quota/customer_quota.h
+++ b/src/decisions/quota/customer_quota.h
@@ -97,6 +97,9 @@
     // Adds the granted units to the stores and starts the granted standing lease.
     void apply_grant(const LeaseGrant& grant);
     bool has_standing_lease() const { return standing_share_ > 0; }
+    // True if the state can be dropped and created anew without more units for the customer: no
+    // work is in progress, the rate store is not overdrawn and the ceiling's store is full.
+    bool is_replenished() const;
     // True if the demand has ended while this instance has a standing lease, and a minimum time has
     // passed since the last lease request.
     bool should_return_lease() const;
--- a/src/decisions/quota/lease_ledger.h
+++ b/src/decisions/quota/lease_ledger.h
@@ -18,15 +18,20 @@
 
     // Returns whether the plan and the subset size of a peer's request are valid here.
     bool accepts(const LeaseRequest& request) const;
-    // Decides on a request from the instance `rank`. Requires accepts(request).
+    // Decides on a request from the instance `rank`. Requires accepts(request). Grants nothing to
+    // a customer without a ledger while Settings::max_customers have one.
     LeaseGrant grant(const LeaseRequest& request, int rank);
     // Removes the ledgers that had no request for `idle_timeout`.
     void remove_idle(Micros idle_timeout);
 
   private:
+    bool has_room_for(std::uint32_t customer_hash);
+    void remove_replenished();
+
     const DecisionContext& context_;
     const LeaseTerms& terms_;
     std::unordered_map<std::uint32_t, QuotaLedger> ledgers_;  // by hash of the customer's name
+    Micros next_removal_at_{0};
 };
 
 }  // namespace silverreach
--- a/src/decisions/quota/quota_ledger.cpp
+++ b/src/decisions/quota/quota_ledger.cpp
@@ -61,6 +61,7 @@
 
 LeaseGrant QuotaLedger::grant(const LeaseRequest& request, int rank) {
     const GrantInput input = make_grant_input(request, rank);
+    plan_ = request.plan;
     refill(input);
     LeaseHolder& holder = holders_[rank];
     record_request(input, holder);
@@ -149,6 +150,16 @@
     holder.last_nonce = request.nonce;
 }
 
+bool QuotaLedger::is_replenished() const {
+    const Micros now = context_.now;
+    const Plan& plan = context_.settings.plans[plan_];
+    const double elapsed_s = seconds(now - refilled_at_);
+    const bool may_be_leased = std::ranges::any_of(
+        holders_, [now](const auto& entry) { return entry.second.max_active_share(now) > 0; });
+    return !may_be_leased && units_ + elapsed_s * plan.rate >= plan.burst &&
+           ceiling_units_ + elapsed_s * plan.ceiling_rate >= plan.ceiling_burst;
+}
+
 void QuotaLedger::remove_idle_holders() {
     std::erase_if(holders_,
                   [this](const auto& entry) { return entry.second.is_idle(context_.now); });
--- a/src/decisions/quota/quota_ledger.h
+++ b/src/decisions/quota/quota_ledger.h
@@ -42,6 +42,9 @@
     // units at all. Beyond the required units it grants at most half of the remaining pool, by the
     // holder's share of the demand. It also grants a standing lease if the demand is steady.
     LeaseGrant grant(const LeaseRequest& request, int rank);
+    // True if a new ledger would hold no more units: the pool is full and no standing lease may be
+    // active.
+    bool is_replenished() const;
     // Time of the last grant(), which is the only call that refills the pool.
     Micros last_request_at() const { return refilled_at_; }
 
@@ -63,6 +66,7 @@
     const LeaseTerms& terms_;
     double units_;              // of the rate quota that no instance holds
     double ceiling_units_ = 0;  // of the ceiling's common share that no instance holds
+    int plan_ = 0;              // in the last request; an index into Settings::plans
     double leased_share_ = 0;   // sum of the standing leases that may be active
     Micros refilled_at_;
     std::map<int, LeaseHolder> holders_;  // by rank
--- a/src/decisions/quota/quota_manager.cpp
+++ b/src/decisions/quota/quota_manager.cpp
@@ -1,6 +1,7 @@
 #include "decisions/quota/quota_manager.h"
 
 #include <algorithm>
+#include <array>
 #include <variant>
 
 #include "decisions/quota/lease_codec.h"
@@ -9,6 +10,11 @@
 namespace {
 
 constexpr Micros idle_timeout{60'000'000};  // for customers, ledgers and peers
+// At the limit of customers.
+constexpr Micros removal_period{100'000};
+constexpr std::array<Micros, 3> idle_times_before_removal{Micros{10'000'000}, Micros{1'000'000},
+                                                          Micros{0}};
+const std::string shared_account_prefix = "\x01shared/";
 
 }  // namespace
 
@@ -25,14 +31,40 @@
                .mailbox = mailbox_},
               first_nonce) {}
 
+// Customers beyond the limit share one account for each plan. Its name begins with a control
+// character, which no name from outside does.
+CustomerQuota& QuotaManager::find_or_add(const RequestArrived& request) {
+    const auto known = customers_.find(request.customer);
+    if (known != customers_.end()) return known->second;
+    const std::string name =
+        has_room() ? request.customer : shared_account_prefix + std::to_string(request.plan);
+    return customers_.try_emplace(name, context_, terms_, hash_name(name), request.plan)
+        .first->second;
+}
+
+bool QuotaManager::has_room() {
+    const std::size_t max_customers = context_.settings.max_customers;
+    if (customers_.size() < max_customers) return true;
+    if (context_.now >= next_removal_at_) remove_replenished();
+    return customers_.size() < max_customers;
+}
+
+// Customers that were idle for longer are removed first, as those in use would have to ask for
+// their units again.
+void QuotaManager::remove_replenished() {
+    next_removal_at_ = context_.now + removal_period;
+    const std::size_t target = context_.settings.max_customers / 4 * 3;
+    for (const Micros idle_time : idle_times_before_removal) {
+        std::erase_if(customers_, [&](const auto& entry) {
+            return context_.now - entry.second.last_request_at() >= idle_time &&
+                   entry.second.is_replenished();
+        });
+        if (customers_.size() <= target) return;
+    }
+}
+
 CustomerQuota& QuotaManager::on_request(const RequestArrived& request) {
-    auto it = customers_.find(request.customer);
-    if (it == customers_.end())
-        it = customers_
-                 .try_emplace(request.customer, context_, terms_, hash_name(request.customer),
-                              request.plan)
-                 .first;
-    CustomerQuota& customer = it->second;
+    CustomerQuota& customer = find_or_add(request);
     customer.on_request(request, std::max(0.0, request.units));
     ++customer.open_requests;
     return customer;
--- a/src/decisions/quota/quota_manager.h
+++ b/src/decisions/quota/quota_manager.h
@@ -32,7 +32,8 @@
     QuotaManager(const QuotaManager&) = delete;  // its members refer to each other
     QuotaManager& operator=(const QuotaManager&) = delete;
 
-    // Records a new request and its demand, and increments open_requests. The caller decrements it
+    // Records a new request and its demand for its customer, or for the customers beyond
+    // Settings::max_customers together, and increments open_requests. The caller decrements it
     // when the request has its final response.
     CustomerQuota& on_request(const RequestArrived& request);
     // Null if the customer's plan is unknown and therefore no quota applies.
@@ -73,12 +74,17 @@
     void flush_outboxes();
 
   private:
+    CustomerQuota& find_or_add(const RequestArrived& request);
+    bool has_room();
+    void remove_replenished();
+
     DecisionContext& context_;
     LeaseTerms terms_;
     LeaseLedger ledger_;
     PeerMailbox mailbox_;
     LeaseClient client_;
     std::unordered_map<std::string, CustomerQuota> customers_;  // by name
+    Micros next_removal_at_{0};
 };
 
 }  // namespace silverreach
--- a/src/decisions/settings_validation.cpp
+++ b/src/decisions/settings_validation.cpp
@@ -15,6 +15,7 @@
     require(settings.rank >= 0 && settings.rank < settings.instance_count,
             "settings: rank must be at least 0 and below instance_count");
     require(settings.max_attempts >= 1, "settings: max_attempts must be at least 1");
+    require(settings.max_customers >= 1, "settings: max_customers must be at least 1");
     for (const Plan& plan : settings.plans)
         require(std::min({plan.rate, plan.burst, plan.ceiling_rate, plan.ceiling_burst}) >= 0,
                 "settings: rates and bursts of a plan must not be negative");
--- a/src/platform/config.cpp
+++ b/src/platform/config.cpp
@@ -11,6 +11,7 @@
 namespace {
 namespace json = silverreach::settings_json;
 constexpr double max_memory_mb = 1e12;
+constexpr std::size_t customers_per_mb = 128;  // an eighth of the memory, at 1 KiB each
 
 [[noreturn]] void fail(std::string_view name, std::string_view expected) {
     throw std::invalid_argument(std::string(name) + ": expected " + std::string(expected));
@@ -85,6 +86,8 @@
     const json::object settings =
         json::as_object(json::require_value(root, "settings"), "settings");
     result.settings = json::read_settings(settings);
+    result.settings.max_customers =
+        static_cast<std::size_t>(result.limits.memory_mb) * customers_per_mb;
     validate(result.settings);
     if (!result.peers.empty() &&
         result.peers.size() != static_cast<std::size_t>(result.settings.instance_count))
