Both fronts: what all clients together make the gateway hold is bounded

Cause: limits were per connection or for unfinished commands alone. serve had none over all connections; its pipelined requests went on while their client read nothing. The sockets of clients had the system's default limits, which are megabytes each.

Change: serve counts heads, bodies in hand, later requests and unread responses of all connections against listen.max_buffered_bytes (256 MiB); beyond it the connection that holds most of an unfinished request gets 503, or one that does not read is reset. Its requests wait while 256 KiB are unread. node counts commands in hand and unread responses against a quarter of its memory: beyond it a connection has one command in hand at a time, and the client with most unread bytes is disconnected. The system's buffers of clients' sockets are limited: 128 KiB in each direction; on node those of all clients together to a quarter of the memory, at 16 KiB or more each. New in counts of serve: buffered_bytes, buffer_full. ConnectionManager::enforce is one for both fronts.

--- a/src/cli/instance.cpp
+++ b/src/cli/instance.cpp
@@ -185,6 +185,8 @@
                           {"held", to_int64(core_->in_flight())},
                           {"clients", to_int64(frontend_->connections())},
                           {"unsent", to_int64(frontend_->closed_with_unsent_bytes())},
+                          {"buffered_bytes", to_int64(frontend_->buffered_bytes())},
+                          {"buffer_full", to_int64(frontend_->buffer_limit_reached())},
                           {"host_connections", to_int64(upstream_stats.open)},
                           {"opened", to_int64(upstream_stats.opened)},
                           {"reused", to_int64(upstream_stats.reused)}};
--- a/src/cli/instance.h
+++ b/src/cli/instance.h
@@ -28,6 +28,8 @@
     Instance(event::Loop& loop, const config::Config& config, std::string folder, log::Log& log);
     ~Instance() override;
 
+    // Bytes that clients make it hold, as counted against listen.max_buffered_bytes.
+    std::size_t buffered_bytes() const { return frontend_->buffered_bytes(); }
     int port() const { return frontend_->port(); }
     // Reloads the API description on a background thread. If it is invalid, all its errors are
     // logged and the current one stays in use. `done`, if set, receives whether the new one is in
--- a/src/cli/node.cpp
+++ b/src/cli/node.cpp
@@ -27,6 +27,16 @@
     return static_cast<std::int64_t>(value);
 }
 
+constexpr std::size_t min_socket_buffer_bytes = std::size_t{16} * 1024;
+constexpr std::size_t max_socket_buffer_bytes = std::size_t{128} * 1024;
+
+// Returns the limit of the system's buffer of one client's connection in one direction. Those of
+// all clients together may take a quarter of the memory; the system doubles what is set.
+int socket_buffer_bytes(std::size_t memory_bytes, std::size_t client_descriptors) {
+    return static_cast<int>(std::clamp(memory_bytes / 4 / client_descriptors / 4,
+                                       min_socket_buffer_bytes, max_socket_buffer_bytes));
+}
+
 // Returns how many descriptors the configuration and the system both allow.
 int descriptor_limit(const platform::NodeLimits& limits) {
     rlimit resource_limit{};
@@ -74,6 +84,9 @@
     frontend_limits.max_connections = client_descriptors - frontend_limits.max_lingering;
     frontend_limits.max_buffered_bytes =
         static_cast<std::size_t>(config_.limits.memory_mb) * 1024 * 1024 / 16;
+    const auto memory_bytes = static_cast<std::size_t>(config_.limits.memory_mb) * 1024 * 1024;
+    frontend_limits.max_in_hand_bytes = memory_bytes / 4;
+    frontend_limits.socket_buffer_bytes = socket_buffer_bytes(memory_bytes, client_descriptors);
     frontend_ = std::make_unique<frontend::resp::Frontend>(loop, config_.listen, command_validator_,
                                                            frontend_limits, *core_,
                                                            [this] { return now(); });
--- a/src/cli/node.h
+++ b/src/cli/node.h
@@ -26,6 +26,8 @@
     Node(event::Loop& loop, platform::NodeConfig config, log::Log& log);
     ~Node() override;
 
+    // Bytes of commands that wait for their responses, and of unread responses.
+    std::size_t in_hand_bytes() const { return frontend_->in_hand_bytes(); }
     int port() const { return frontend_->port(); }
     // Switches to the discovery service of the new configuration. Other changes need a restart.
     void reload(const platform::NodeConfig& new_config);
--- a/src/frontend/common/client_connection.cpp
+++ b/src/frontend/common/client_connection.cpp
@@ -23,6 +23,7 @@
         Wait::drain,        Wait::message_completion, Wait::response_read};
     if (stream_.closed()) return;
     stream_.update_queue_progress();
+    update_buffered();
     const Micros now = loop_.now();
     for (const Wait wait : order) {
         const auto pending = pending_wait(wait);
--- a/src/frontend/common/client_connection.h
+++ b/src/frontend/common/client_connection.h
@@ -10,6 +10,7 @@
 #include <optional>
 
 #include "event/arrival_log.h"
+#include "event/buffer_budget.h"
 #include "event/fd.h"
 #include "event/stream.h"
 
@@ -55,10 +56,12 @@
     // received bytes have been read. Costs a system call.
     virtual bool is_quiescent() const { return false; }
     virtual void evict() {}
-    // Returns the bytes of an unfinished message that can be dropped by ending the connection with
-    // an error. 0: there are none.
-    virtual std::size_t droppable_bytes() const { return 0; }
-    virtual void drop_unfinished() {}
+    // Returns the bytes of the budget that are freed by ending the connection, where no complete
+    // message that waits for its response is lost, or the client does not read responses. 0: there
+    // are none.
+    virtual std::size_t droppable_bytes(const event::BufferBudget&) const { return 0; }
+    // Ends the connection to free these bytes.
+    virtual void drop(const event::BufferBudget&) {}
     // Called for the connection that has lingered longest when too many are lingering.
     virtual void abort_lingering() {}
 
@@ -74,6 +77,8 @@
     };
     // Returns the start and limit of the wait if it is in progress.
     virtual std::optional<PendingWait> pending_wait(Wait wait) const = 0;
+    // Called before the waits are checked, to account for what was sent meanwhile.
+    virtual void update_buffered() {}
     // Handles a wait that has reached its limit. Returns whether the connection acted on it; the
     // later waits are then not checked.
     virtual bool on_wait_expired(Wait wait) = 0;
--- a/src/frontend/common/connection_manager.cpp
+++ b/src/frontend/common/connection_manager.cpp
@@ -1,5 +1,7 @@
 #include "frontend/common/connection_manager.h"
 
+#include <sys/socket.h>
+
 #include <utility>
 
 namespace silverreach::frontend {
@@ -58,6 +60,9 @@
 
 void ConnectionManager::accept(event::Fd fd, std::string client_address) {
     ++stats_.accepted;
+    for (const int option : {SO_SNDBUF, SO_RCVBUF})
+        setsockopt(fd.get(), SOL_SOCKET, option, &policy_.socket_buffer_bytes,
+                   sizeof policy_.socket_buffer_bytes);
     connections_.push_back(
         factory_(std::move(fd), std::move(client_address), listener_->waiting_since()));
     connections_.back()->slot_ = connections_.size() - 1;
@@ -74,19 +79,33 @@
     (longest ? *longest : connection).abort_lingering();
 }
 
-bool ConnectionManager::drop_largest_unfinished() {
+bool ConnectionManager::drop_largest(const event::BufferBudget& budget) {
     ClientConnection* largest = nullptr;
     std::size_t largest_bytes = 0;
     for (const auto& connection : connections_) {
-        const std::size_t bytes = connection->droppable_bytes();
+        const std::size_t bytes = connection->droppable_bytes(budget);
         if (bytes <= largest_bytes) continue;
         largest = connection.get();
         largest_bytes = bytes;
     }
-    if (largest) largest->drop_unfinished();
+    if (largest) largest->drop(budget);
     return largest != nullptr;
 }
 
+void ConnectionManager::enforce(const event::BufferBudget& budget) {
+    while (budget.exceeded() && drop_largest(budget)) {
+    }
+}
+
+void ConnectionManager::enforce_later(const event::BufferBudget& budget) {
+    if (!budget.exceeded() || std::exchange(enforcement_scheduled_, true)) return;
+    loop_.after(Micros(0), [this, &budget, alive = std::weak_ptr<bool>(alive_)] {
+        if (alive.expired()) return;
+        enforcement_scheduled_ = false;
+        enforce(budget);
+    });
+}
+
 void ConnectionManager::remove(ClientConnection& connection) {
     const std::size_t slot = connection.slot_;
     if (connection.is_lingering()) --lingering_;
--- a/src/frontend/common/connection_manager.h
+++ b/src/frontend/common/connection_manager.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "config/config.h"
+#include "event/buffer_budget.h"
 #include "event/deferred_deletion.h"
 #include "event/listener.h"
 #include "event/loop.h"
@@ -30,6 +31,8 @@
     // If not, the new one is closed. False for HTTP, where the operator sets max_connections and
     // how long clients may be idle.
     bool evict_idle = false;
+    // Limit of what the system buffers for a connection in each direction (SO_SNDBUF, SO_RCVBUF).
+    int socket_buffer_bytes = 128 * 1024;
     // Period of the timeout checks over all connections. 0: each connection schedules its own
     // checks, which avoids iterating over tens of thousands of idle ones.
     Micros sweep_period{0};
@@ -80,14 +83,18 @@
 
     // ---- for connections only ----
     void on_lingering(ClientConnection& connection);
-    // Ends the connection that buffers most of an unfinished message, to free its bytes. Returns
-    // false if no connection has bytes that can be dropped.
-    bool drop_largest_unfinished();
+    // Ends the connections that buffer most of what can be dropped until the budget is kept.
+    void enforce(const event::BufferBudget& budget);
+    // As above, in the loop's next turn, for callers that use their connection afterwards. The
+    // budget must outlive the manager.
+    void enforce_later(const event::BufferBudget& budget);
     // Removes the connection from the list and destroys it in the loop's next turn, because one of
     // its functions may still be running.
     void remove(ClientConnection& connection);
 
   private:
+    // Returns false if no connection has bytes of the budget that can be dropped.
+    bool drop_largest(const event::BufferBudget& budget);
     bool ensure_capacity();
     void accept(event::Fd fd, std::string client_address);
     ClientConnection* find_eviction_candidate() const;
@@ -100,6 +107,7 @@
     Stats stats_;
     std::vector<std::unique_ptr<ClientConnection>> connections_;
     std::size_t lingering_ = 0;  // number of lingering connections_
+    bool enforcement_scheduled_ = false;
     event::DeferredDeletion<ClientConnection> deferred_deletion_;
     std::unique_ptr<event::Listener> listener_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/src/frontend/http/frontend.cpp
+++ b/src/frontend/http/frontend.cpp
@@ -8,9 +8,12 @@
 
 namespace silverreach::frontend::http {
 namespace {
+constexpr int socket_buffer_bytes = 128 * 1024;  // of a client's connection, in each direction
+
 ConnectionPolicy policy_of(const config::Listen& listen) {
     ConnectionPolicy policy;
     policy.max_connections = static_cast<std::size_t>(listen.max_connections());
+    policy.socket_buffer_bytes = socket_buffer_bytes;
     return policy;
 }
 }  // namespace
@@ -31,7 +34,8 @@
                std::move(callbacks),
                config::plan_index(config, config.api().anonymous_plan()),
                fmt::format("silverreach-{}", config.peers().rank()),
-               RequestResolver(config, accounts)},
+               RequestResolver(config, accounts),
+               event::BufferBudget(static_cast<std::size_t>(config.listen().max_buffered_bytes()))},
       connections_(
           loop, *config::parse_endpoint(config.listen().address()), policy_of(config.listen()),
           [this](event::Fd fd, std::string client_address, Micros waiting_since) {
--- a/src/frontend/http/frontend.h
+++ b/src/frontend/http/frontend.h
@@ -30,6 +30,8 @@
     bool has_unfinished_work() const;
     std::size_t connections() const { return connections_.size(); }
     std::uint64_t closed_with_unsent_bytes() const { return context_.closed_with_unsent_bytes; }
+    std::uint64_t buffer_limit_reached() const { return context_.buffer_limit_reached; }
+    std::size_t buffered_bytes() const { return context_.buffer_budget.used_bytes(); }
     std::size_t in_flight() const { return context_.in_flight.size(); }
 
     // ---- requests; an id that is not in flight is ignored ----
--- a/src/frontend/http/frontend_context.h
+++ b/src/frontend/http/frontend_context.h
@@ -9,6 +9,7 @@
 
 #include "config/config.h"
 #include "core/request_coordinator.h"
+#include "event/buffer_budget.h"
 #include "event/system_random.h"
 #include "frontend/http/request_resolver.h"
 #include "openapi/description.h"
@@ -58,10 +59,13 @@
     int anonymous_plan;  // index into Settings::plans; negative: none
     std::string via;     // this instance's name in the Via field
     RequestResolver resolver;
+    // For requests in hand and unread responses of all connections.
+    event::BufferBudget buffer_budget;
     event::SystemRandom random = {};  // for request and trace ids
     DateCache date_cache = {};
     std::unordered_map<RequestId, HttpConnection*> in_flight = {};
-    std::uint64_t closed_with_unsent_bytes = 0;  // connections, at a timeout
+    std::uint64_t closed_with_unsent_bytes = 0;  // connections, at a timeout or the buffer limit
+    std::uint64_t buffer_limit_reached = 0;      // connections that were ended because of the limit
 };
 
 }  // namespace silverreach::frontend::http
--- a/src/frontend/http/http_connection.cpp
+++ b/src/frontend/http/http_connection.cpp
@@ -11,6 +11,8 @@
 using std::chrono::milliseconds;
 constexpr std::size_t max_pending_bytes = std::size_t{64} * 1024;  // above this, reading stops
 constexpr std::size_t max_header_fields = 100;
+constexpr std::size_t max_unread_bytes = std::size_t{256} * 1024;
+constexpr std::size_t guaranteed_bytes = 4096;  // per connection, regardless of the budget
 constexpr Micros linger_timeout = 1s;
 constexpr Micros min_check_period = 250ms;
 constexpr int idle_checks_per_timeout = 4;
@@ -26,7 +28,8 @@
     : ClientConnection(manager, std::move(fd), waiting_since),
       context_(context),
       parser_(wire::Parser::Kind::request, *this, head_limits(context.config.listen())),
-      client_address_(std::move(client_address)) {
+      client_address_(std::move(client_address)),
+      buffered_(context.buffer_budget) {
     check_timeouts_periodically();
 }
 
@@ -35,16 +38,19 @@
 void HttpConnection::on_data(std::string_view bytes) {
     if (!accepts_input()) return;
     arrivals().record(bytes.size(), stream().arrived_at());
-    if (!is_reading() || !pending_input_.empty()) {
+    if (!is_reading() || !pending_input_.empty() || must_defer_requests()) {
         pending_input_.append(bytes);
         if (pending_input_.size() > max_pending_bytes) stream().set_reading(false);
         if (is_reading()) process_pending();
-        return;
+    } else {
+        const std::size_t consumed = feed_parser(bytes);
+        // Bytes after the end of this request belong to the next one.
+        if (accepts_input() && consumed < bytes.size())
+            pending_input_.append(bytes.substr(consumed));
+        forward_if_complete();
     }
-    const std::size_t consumed = feed_parser(bytes);
-    // Bytes after the end of this request belong to the next one.
-    if (accepts_input() && consumed < bytes.size()) pending_input_.append(bytes.substr(consumed));
-    forward_if_complete();
+    update_buffered();
+    manager().enforce(context_.buffer_budget);
 }
 
 // A request's time starts with the arrival of its first byte, even if the request was buffered
@@ -57,7 +63,7 @@
 }
 
 void HttpConnection::process_pending() {
-    while (is_reading() && !pending_input_.empty()) {
+    while (is_reading() && !pending_input_.empty() && !must_defer_requests()) {
         const std::string bytes = std::exchange(pending_input_, {});
         const std::size_t consumed = feed_parser(bytes);
         if (!accepts_input()) return;
@@ -70,7 +76,12 @@
     if (state_ == State::closed) return;
     if (pending_input_.size() <= max_pending_bytes && state_ != State::lingering)
         stream().set_reading(true);
-    if (half_closed_ && is_reading()) linger();
+    if (half_closed_ && is_reading() && !must_defer_requests()) linger();
+    update_buffered();
+}
+
+bool HttpConnection::must_defer_requests() const {
+    return parser_.idle() && stream().queued_bytes() > max_unread_bytes;
 }
 
 bool HttpConnection::on_head(wire::Head& head) {
@@ -161,12 +172,17 @@
 }
 
 void HttpConnection::append_body(std::string_view bytes) {
-    if (state_ == State::streaming_response) request_->response.write_body(stream(), bytes);
+    if (state_ != State::streaming_response) return;
+    request_->response.write_body(stream(), bytes);
+    update_buffered();
+    manager().enforce_later(context_.buffer_budget);
 }
 
 void HttpConnection::on_drained() {
+    update_buffered();
     if (state_ == State::streaming_response) return request_->response.on_drained();
-    if (state_ == State::lingering && half_closed_) close();
+    if (state_ == State::lingering && half_closed_) return close();
+    if (is_reading() && !pending_input_.empty()) process_pending();
 }
 
 void HttpConnection::end_response(const wire::Fields& trailers) {
@@ -211,11 +227,48 @@
 
 void HttpConnection::linger() {
     state_ = State::lingering;
-    pending_input_.clear();
+    pending_input_ = std::string();
     start_lingering_close();
     if (half_closed_ && stream().queued_bytes() == 0) close();
 }
 
+// ---- buffers --------------------------------------------------------------------------------
+
+std::size_t HttpConnection::input_bytes() const {
+    std::size_t bytes = parser_.buffered_bytes() + pending_input_.capacity();
+    if (!request_) return bytes;
+    bytes += request_->body.capacity();
+    if (request_->upstream)
+        bytes += request_->upstream->head.size() + request_->upstream->body.size();
+    return bytes;
+}
+
+void HttpConnection::update_buffered() {
+    if (state_ != State::closed) buffered_.resize(input_bytes() + stream().queued_bytes());
+}
+
+// An unfinished request, or unread responses. A complete request is never dropped.
+std::size_t HttpConnection::droppable_bytes(const event::BufferBudget&) const {
+    if (state_ == State::closed) return 0;
+    const std::size_t unfinished = is_reading() && is_receiving() ? input_bytes() : 0;
+    const std::size_t bytes = std::max(unfinished, stream().queued_bytes());
+    return bytes > guaranteed_bytes ? bytes : 0;
+}
+
+void HttpConnection::drop(const event::BufferBudget&) {
+    ++context_.buffer_limit_reached;
+    if (is_reading() && is_receiving() && stream().queued_bytes() <= guaranteed_bytes) {
+        on_fault({503, "too much in hand"});
+        parser_.reset();
+        return update_buffered();
+    }
+    // A reset, because an end in order could look like the end of a complete response.
+    ++context_.closed_with_unsent_bytes;
+    abandon_request();
+    stream().reset();
+    close();
+}
+
 // ---- disconnection --------------------------------------------------------------------------
 
 // If clients may close their side and still wait for the response, a closed side does not mean that
@@ -264,6 +317,7 @@
     if (state_ == State::closed) return;
     state_ = State::closed;
     stream().close();
+    buffered_.resize(0);
     schedule_deletion();
 }
 
--- a/src/frontend/http/http_connection.h
+++ b/src/frontend/http/http_connection.h
@@ -41,6 +41,9 @@
     // Whether a response is not sent completely, or input has not been read.
     bool has_unfinished_work() const;
 
+    std::size_t droppable_bytes(const event::BufferBudget& budget) const override;
+    void drop(const event::BufferBudget& budget) override;
+
     void on_data(std::string_view bytes) override;
     void on_end() override;
     void on_error(int error) override;
@@ -76,6 +79,12 @@
     void process_pending();
     void forward_if_complete();
     void forward_request();
+    // Whether the client has to read responses before its next request is handled.
+    bool must_defer_requests() const;
+
+    // ---- buffers ----
+    std::size_t input_bytes() const;
+    void update_buffered() override;
 
     // ---- responses and closing ----
     void reply_locally(const LocalReply& reply, std::string_view log_reason);
@@ -93,7 +102,8 @@
     std::string client_address_;
     State state_ = State::reading_head;
     std::string pending_input_;  // bytes of later requests
-    bool half_closed_ = false;   // by the client
+    event::BufferBudget::Reservation buffered_;
+    bool half_closed_ = false;  // by the client
     // Allocated separately so that an idle connection stays small.
     std::unique_ptr<ClientRequest> request_;
 };
--- a/src/frontend/resp/frontend.cpp
+++ b/src/frontend/resp/frontend.cpp
@@ -15,6 +15,7 @@
     policy.max_connections = limits.max_connections;
     policy.max_lingering = limits.max_lingering;
     policy.evict_idle = true;
+    policy.socket_buffer_bytes = limits.socket_buffer_bytes;
     policy.sweep_period = 200ms;
     return policy;
 }
@@ -34,7 +35,8 @@
                    const platform::CommandValidator& validator, const FrontendLimits& limits,
                    core::RequestCoordinator& core, std::function<Micros()> clock)
     : loop_(loop),
-      context_{validator, core, std::move(clock), event::BufferBudget(limits.max_buffered_bytes)},
+      context_{validator, core, std::move(clock), event::BufferBudget(limits.max_buffered_bytes),
+               event::BufferBudget(limits.max_in_hand_bytes)},
       connections_(loop, listen, policy_of(limits),
                    [this](event::Fd fd, const std::string&, Micros waiting_since) {
                        return std::make_unique<RespConnection>(context_, connections_,
--- a/src/frontend/resp/frontend.h
+++ b/src/frontend/resp/frontend.h
@@ -26,6 +26,10 @@
     std::size_t max_lingering = 12;
     // Of commands, over all connections.
     std::size_t max_buffered_bytes = std::size_t{4} * 1024 * 1024;
+    // Of commands that wait for their responses, and unread responses, over all connections.
+    std::size_t max_in_hand_bytes = std::size_t{16} * 1024 * 1024;
+    // Of each connection's socket, in each direction.
+    int socket_buffer_bytes = 128 * 1024;
 };
 
 // Used on the loop's thread.
@@ -39,6 +43,8 @@
 
     int port() const { return connections_.port(); }
     bool listening() const { return connections_.listening(); }
+    // Bytes of commands that wait for their responses, and of unread responses.
+    std::size_t in_hand_bytes() const { return context_.in_hand_budget.used_bytes(); }
 
     // ---- requests; an id that is not in flight is ignored ----
     // Returns the command for hosts; nullptr if the request is not in flight.
--- a/src/frontend/resp/frontend_context.h
+++ b/src/frontend/resp/frontend_context.h
@@ -30,6 +30,8 @@
     core::RequestCoordinator& core;
     std::function<Micros()> clock;      // the core's time
     event::BufferBudget buffer_budget;  // of input that is not handled yet
+    // Of commands that wait for their responses, and responses that clients have not read.
+    event::BufferBudget in_hand_budget;
     RequestTable requests = {};
     FrontendCounters counters = {};
     std::function<void(const ConnectionClose&)> on_close = {};  // may be empty
--- a/src/frontend/resp/resp_connection.cpp
+++ b/src/frontend/resp/resp_connection.cpp
@@ -30,6 +30,7 @@
     : ClientConnection(manager, std::move(fd), waiting_since),
       context_(context),
       buffered_(context.buffer_budget),
+      in_hand_(context.in_hand_budget),
       opened_at_(loop().now()) {}
 
 // ---- commands -------------------------------------------------------------------------------
@@ -53,7 +54,7 @@
         return;
     }
     input_.append(bytes);
-    update_buffer_budget();
+    update_buffered();
     arrivals().record(bytes.size(), stream().arrived_at());
     read_commands();
 }
@@ -81,7 +82,7 @@
     const bool resume_later = result == ReadResult::turn_limit_reached ||
                               (result == ReadResult::no_capacity && !must_defer_commands());
     has_unfinished_command_ = result == ReadResult::incomplete && !input_.empty();
-    enforce_buffer_budget();
+    manager().enforce(context_.buffer_budget);
     if (state_ == State::closed || state_ == State::lingering) return;
     update_reading();
     if (resume_later) call_later(0us, [this] { resume(); });
@@ -118,39 +119,45 @@
     arrivals().consume(consumed);
     // The bytes after a malformed frame cannot be parsed as commands.
     if (input_.empty() || state_ != State::open) return drop_input();
-    update_buffer_budget();
+    update_buffered();
     if (consumed > 0) unfinished_since_.reset();
 }
 
 void RespConnection::drop_input() {
     input_.clear();
     if (input_.capacity() > idle_input_capacity) input_.shrink_to_fit();
-    update_buffer_budget();
+    update_buffered();
     arrivals().consume_all();
     unfinished_since_.reset();
 }
 
-// Ends the connections with most of an unfinished command until the budget is kept. Commands that
-// are complete are never dropped.
-void RespConnection::enforce_buffer_budget() {
-    while (context_.buffer_budget.exceeded() && manager().drop_largest_unfinished()) {
-    }
-}
-
-std::size_t RespConnection::droppable_bytes() const {
+// Commands that are complete are never dropped.
+std::size_t RespConnection::droppable_bytes(const event::BufferBudget& budget) const {
+    if (&budget == &context_.in_hand_budget)
+        return state_ == State::closed ? 0 : stream().queued_bytes();
     const bool input_in_use = reading_commands_;
     if (state_ != State::open || input_in_use || !has_unfinished_command_) return 0;
     return input_.size() > guaranteed_input_bytes ? input_.size() : 0;
 }
 
-void RespConnection::drop_unfinished() {
+void RespConnection::drop(const event::BufferBudget& budget) {
     ++context_.counters.buffer_limit_reached;
+    if (&budget == &context_.in_hand_budget) return close(CloseReason::answers_unread);
     fail("too much in hand");
 }
 
+void RespConnection::update_buffered() {
+    if (state_ == State::closed) return;
+    buffered_.resize(input_.size());
+    in_hand_.resize(responses_.held_bytes() + stream().queued_bytes());
+    manager().enforce_later(context_.in_hand_budget);
+}
+
+// While the budget is exceeded, a connection has one command in hand at a time.
 bool RespConnection::must_defer_commands() const {
-    return throttled_ || responses_.size() >= max_responses ||
-           stream().queued_bytes() >= max_unread_bytes;
+    const bool has_work = !responses_.empty() || stream().queued_bytes() > 0;
+    return throttled_ || (has_work && context_.in_hand_budget.exceeded()) ||
+           responses_.size() >= max_responses || stream().queued_bytes() >= max_unread_bytes;
 }
 
 // Reads ahead of the capacity for responses, so that the client's close is detected behind waiting
@@ -192,7 +199,8 @@
     if (time_remaining <= 0us) return responses_.add_ready("-BUSY\r\n");
     throttle_.on_valid();
     const RequestId id = context_.core.next_id();
-    const std::uint64_t number = responses_.add_pending(id);
+    const std::uint64_t number = responses_.add_pending(id, request.upstream_command.size());
+    update_buffered();
     context_.requests.add(
         id,
         {this, number, request.id, loop().now(),
@@ -217,6 +225,7 @@
 
 void RespConnection::on_response(std::uint64_t number, std::string response) {
     if (state_ == State::closed || !responses_.complete(number, std::move(response))) return;
+    update_buffered();
     if (reading_commands_) return;
     flush();
     if (state_ == State::closed) return;
@@ -232,10 +241,12 @@
         start_wait(loop().now());
         stream().write(out);
     }
+    update_buffered();
     if (is_drained()) linger(end_reason());
 }
 
 void RespConnection::on_drained() {
+    update_buffered();
     if (is_drained()) return linger(end_reason());
     if (!input_.empty())
         resume();
@@ -347,6 +358,7 @@
     report_close(reason);
     stream().close();
     buffered_.resize(0);
+    in_hand_.resize(0);
     const std::vector<RequestId> abandoned = responses_.pending();
     for (const RequestId id : abandoned)
         context_.requests.take(id);
--- a/src/frontend/resp/resp_connection.h
+++ b/src/frontend/resp/resp_connection.h
@@ -34,8 +34,8 @@
     bool is_quiescent() const override;
     void evict() override { linger(CloseReason::evicted); }
     void abort_lingering() override { close(CloseReason::linger_crowded); }
-    std::size_t droppable_bytes() const override;
-    void drop_unfinished() override;
+    std::size_t droppable_bytes(const event::BufferBudget& budget) const override;
+    void drop(const event::BufferBudget& budget) override;
 
     void on_data(std::string_view bytes) override;
     void on_end() override { close(CloseReason::client_ended); }
@@ -64,13 +64,12 @@
     ReadResult read_batch(std::size_t& consumed);
     void consume_input(std::size_t consumed);
     void drop_input();
-    void enforce_buffer_budget();
     void handle_command(const std::vector<std::string_view>& arguments, Micros waited);
     void start_request(const std::vector<std::string_view>& arguments, Micros waited);
     void reject_command(std::string_view reason);
     bool must_defer_commands() const;
     void update_reading();
-    void update_buffer_budget() { buffered_.resize(input_.size()); }
+    void update_buffered() override;
 
     // ---- responses and closing ----
     void flush();
@@ -88,6 +87,7 @@
     std::string input_;                          // bytes that have not been handled yet
     event::BufferBudget::Reservation buffered_;  // for input_
     ResponseQueue responses_;
+    event::BufferBudget::Reservation in_hand_;  // for responses_ and unread bytes
     InvalidCommandThrottle throttle_;
     bool throttled_ = false;
     bool has_unfinished_command_ =
--- a/src/http/parser.cpp
+++ b/src/http/parser.cpp
@@ -178,7 +178,7 @@
 
 void Parser::reset() {
     state_ = State::reading_head;
-    head_buffer_.clear();
+    head_buffer_ = std::string();
     http_parser_init(&parser_, is_request() ? HTTP_REQUEST : HTTP_RESPONSE);
     parser_.data = this;
 }
--- a/src/http/parser.h
+++ b/src/http/parser.h
@@ -62,6 +62,8 @@
     // Whether the parser is between messages and has no byte of the next one.
     bool idle() const { return state_ == State::reading_head && head_buffer_.empty(); }
     bool done() const { return state_ == State::complete; }
+    // Bytes of an incomplete head.
+    std::size_t buffered_bytes() const { return head_buffer_.size(); }
 
   private:
     enum class State {
--- a/tests/node/slow_reader_test.cpp
+++ b/tests/node/slow_reader_test.cpp
@@ -130,3 +130,33 @@
         [&] { return client->is_closed() || count_responses(client->received) == ping_count; });
     EXPECT_EQ(count_responses(client->received), ping_count);
 }
+
+// Guards against many clients that send requests and read no response, and that together exhaust
+// the memory. Another client is served meanwhile.
+TEST(SlowReader, UnreadResponsesOfManyClientsAreBounded) {
+    constexpr int memory_mb = 8;
+    constexpr std::size_t max_in_hand_bytes = std::size_t{memory_mb} * 1024 * 1024 / 4;
+    constexpr std::size_t argument_bytes = 30'000;
+    std::string echo;
+    resp::append_array(echo, 2);
+    resp::append_bulk(echo, "PING");
+    resp::append_bulk(echo, std::string(argument_bytes, 'p'));
+    TestNode node({.memory_mb = memory_mb});
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < 60; ++i) {
+        clients.push_back(node.connect());
+        clients.back()->stream.set_reading(false);
+        clients.back()->stream.write(repeat(echo, 20));
+    }
+    std::size_t most_bytes = 0;
+    node.run_until(
+        [&] {
+            most_bytes = std::max(most_bytes, node.instance->in_hand_bytes());
+            return false;
+        },
+        1000ms);
+    EXPECT_GT(most_bytes, max_in_hand_bytes / 2) << "the clients do hold the node up";
+    // Each connection may have one more command in hand.
+    EXPECT_LE(most_bytes, max_in_hand_bytes + clients.size() * argument_bytes);
+    EXPECT_EQ(node.exchange(query(1), 7), "$20\r\nfor " + hex(1) + "\r\n");
+}
