RESP: an id that may be running is not run again before its time is over

Cause: with the client's connection its ids were forgotten, while attempts that had been sent ran on at their hosts.

Change: at the close, the id of a request with an effect of which an attempt may have run is held until the client's own deadline; a command with that id is answered "-ERR id: a request of that name may be running". Idempotent requests run again as before.

--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -82,6 +82,12 @@
     return should_forward;
 }
 
+bool RequestCoordinator::may_have_run(RequestId id) {
+    const Request* request = requests_.find(id);
+    return request && std::ranges::any_of(request->record.attempts,
+                                          &rules::AttemptRecord::may_have_run);
+}
+
 std::optional<Micros> RequestCoordinator::begin_send(Micros now, const AttemptKey& key) {
     transport_calls_begin_send_ = true;
     rules::AttemptRecord* attempt = requests_.find_attempt(key);
--- a/src/core/request_coordinator.h
+++ b/src/core/request_coordinator.h
@@ -46,6 +46,8 @@
     // Called by the transport just before an attempt's bytes are sent. Returns the time that the
     // endpoint may take, or nullopt if the rules block the attempt; the transport then ends the
     // attempt as not_started.
+    // Whether an attempt of the request has been sent that did not provably end unexecuted.
+    bool may_have_run(RequestId id);
     std::optional<Micros> begin_send(Micros now, const AttemptKey& key);
     // Called when a response streamed to the client has ended. `is_complete`: the endpoint sent all
     // of it.
--- a/src/frontend/resp/resp_connection.cpp
+++ b/src/frontend/resp/resp_connection.cpp
@@ -193,6 +193,10 @@
     if (!request.error.empty()) return reject_command(request.error);
     if (context_.requests.has_client_id(request.id))
         return reject_command("id: a request of that name is open");
+    if (context_.requests.is_held(request.id, loop().now())) {
+        ++context_.counters.invalid_commands;
+        return responses_.add_ready("-ERR id: a request of that name may be running\r\n");
+    }
     const Micros drain_remaining = manager().drain().time_remaining(loop().now());
     Micros& time_remaining = request.client_request.time_remaining;
     time_remaining = std::min(time_remaining - waited, drain_remaining) - response_margin;
@@ -203,7 +207,7 @@
     update_buffered();
     context_.requests.add(
         id,
-        {this, number, request.id, loop().now(),
+        {this, number, request.id, loop().now(), loop().now() + time_remaining,
          std::make_shared<const platform::UpstreamCommand>(std::move(request.upstream_command))});
     context_.core.start_request(context_.clock(), id, request.client_request);
 }
@@ -361,12 +365,20 @@
     in_hand_.resize(0);
     const std::vector<RequestId> abandoned = responses_.pending();
     for (const RequestId id : abandoned)
-        context_.requests.take(id);
+        abandon(id);
     schedule_deletion();
     for (const RequestId id : abandoned)
         context_.core.on_client_disconnected(context_.clock(), id);
 }
 
+// What the host may be running is not run again under the same id before its time is over: the host
+// of a second attempt need not know of the first one.
+void RespConnection::abandon(RequestId id) {
+    const auto request = context_.requests.take(id);
+    if (!request || !request->command->has_effect || !context_.core.may_have_run(id)) return;
+    context_.requests.hold_client_id(request->client_id, request->deadline);
+}
+
 void RespConnection::report_close(CloseReason reason) {
     context_.report_close({reason, responses_.pending().size(), loop().now() - opened_at_});
 }
--- a/src/frontend/resp/resp_connection.h
+++ b/src/frontend/resp/resp_connection.h
@@ -79,6 +79,7 @@
     CloseReason end_reason() const;      // of a drained connection
     bool is_idle() const;
     bool discard(std::size_t bytes);  // false: above max_discarded_bytes
+    void abandon(RequestId id);
     void report_close(CloseReason reason);
 
     FrontendContext& context_;
--- a/src/platform/request.cpp
+++ b/src/platform/request.cpp
@@ -139,6 +139,7 @@
     if (request_class->is_idempotent != is_query) return reject("c: of the other command");
     if (request_class->needs_key && !has_key) return reject("k: missing");
     request.client_request.request_class = request_class->index;
+    request.upstream_command.has_effect = !request_class->is_idempotent;
     request.upstream_command.is_idempotent =
         request_class->is_idempotent || request_class->needs_key;
     request.client_request.plan = plan.value_or(-1);
--- a/src/platform/request.h
+++ b/src/platform/request.h
@@ -22,6 +22,7 @@
     std::string list_before_deadline, list_after_deadline;  // the list around the value of `d`
     std::string suffix;                                     // the body, if the command has one
     bool is_idempotent = true;  // the request may be sent again after a lost attempt
+    bool has_effect = false;    // executing it twice is an error, whether it has a key or not
     std::size_t size() const {  // bytes
         return prefix.size() + list_before_deadline.size() + list_after_deadline.size() +
                suffix.size();
--- a/tests/node/endings_test.cpp
+++ b/tests/node/endings_test.cpp
@@ -104,6 +104,31 @@
     }
 }
 
+// Guards against a request that runs twice because it comes again, with its id and key, after its
+// client has left: the second attempt may reach a cell that does not know of the first one.
+TEST(ClientEnds, AnIdThatMayBeRunningIsNotRunAgain) {
+    TestNode node({2});
+    for (auto& host : node.hosts)
+        host->respond = [](ScriptedServer::Peer&, const Arguments&) {};
+    {
+        auto client = node.connect();
+        client->stream.write(submit(5, "b") + query(6));
+        ASSERT_TRUE(node.run_until([&] { return node.command_count() == 2; }));
+    }
+    node.run_for(20ms);
+    for (int i = 0; i < 4; ++i)
+        EXPECT_EQ(node.exchange(submit(5, "b"), 5),
+                  "-ERR id: a request of that name may be running\r\n");
+    EXPECT_EQ(node.command_count(), 2u);
+    for (auto& host : node.hosts)
+        host->respond = [](ScriptedServer::Peer& peer, const Arguments& arguments) {
+            peer.stream.write(host_response("for " + arguments[2]));
+        };
+    EXPECT_EQ(node.exchange(query(6), 5), response_to(6)) << "an idempotent request may run again";
+    node.run_for(1600ms);
+    EXPECT_EQ(node.exchange(submit(5, "b"), 5), response_to(5)) << "its time was over";
+}
+
 TEST(HostDrains, UnsentAttemptsMoveToAnotherHost) {
     DelayedAcceptHost late_host;
     TestNode node({0, 256, 1000, 64, 5000, target(late_host)});
