--- a/src/frontend/http/http_connection.cpp
+++ b/src/frontend/http/http_connection.cpp
@@ -33,6 +33,12 @@
     check_timeouts_periodically();
 }
 
+// At the end of the process, an end in order could look like the end of a complete response.
+// For the attribute see ~ClientConnection.
+[[gnu::no_sanitize("vptr")]] HttpConnection::~HttpConnection() {
+    if (state_ == State::streaming_response || stream().queued_bytes() > 0) stream().reset();
+}
+
 // ---- requests -------------------------------------------------------------------------------
 
 void HttpConnection::on_data(std::string_view bytes) {
--- a/src/frontend/http/http_connection.h
+++ b/src/frontend/http/http_connection.h
@@ -26,6 +26,8 @@
     // `context` must outlive the connection; `client_address`: its address.
     HttpConnection(FrontendContext& context, ConnectionManager& manager, event::Fd fd,
                    std::string client_address, Micros waiting_since);
+    // Resets a connection whose response is not sent completely.
+    ~HttpConnection() override;
 
     // ---- operations on the request in flight (see Frontend); ignored in other states ----
     std::shared_ptr<const upstream_http::UpstreamRequest> upstream_request() const;
--- a/tests/gateway/drain_test.cpp
+++ b/tests/gateway/drain_test.cpp
@@ -81,3 +81,22 @@
     bytes += receive_all(client);
     EXPECT_GT(bytes.size(), body.size());
 }
+
+// Guards against a response without a length that is cut at the end of the drain, with an end that
+// looks like that of a complete response.
+TEST(HttpDrain, AResponseThatOutlastsTheDrainIsReset) {
+    TestGateway gateway;
+    gateway.hosts[0]->respond = [](ScriptedHost::Peer& peer, const std::string&) {
+        peer.stream.write("HTTP/1.1 200 OK\r\nContent-Length: 1000\r\n\r\nfirst part");
+    };
+    auto client = gateway.connect();
+    client->stream.write("GET /a HTTP/1.0\r\nHost: h\r\n\r\n");
+    ASSERT_TRUE(gateway.run_until([&] { return contains(client->received, "first part"); }));
+    bool is_drained = false;
+    gateway.instance->drain(100ms, [&] { is_drained = true; });
+    ASSERT_TRUE(gateway.run_until([&] { return is_drained; }));
+    gateway.instance.reset();
+    gateway.run_until([&] { return client->is_closed(); });
+    EXPECT_TRUE(client->has_failed) << "the client can tell that the response is not complete";
+    EXPECT_FALSE(client->is_closed_by_peer);
+}
