Core: one call written as the formatter has it

Cause: the change of the call's arguments was committed without the formatter. Change: layout alone.

--- a/src/core/request_coordinator.cpp
+++ b/src/core/request_coordinator.cpp
@@ -84,8 +84,8 @@
 
 bool RequestCoordinator::may_have_run(RequestId id) {
     const Request* request = requests_.find(id);
-    return request && std::ranges::any_of(request->record.attempts,
-                                          &rules::AttemptRecord::may_have_run);
+    return request &&
+           std::ranges::any_of(request->record.attempts, &rules::AttemptRecord::may_have_run);
 }
 
 std::optional<Micros> RequestCoordinator::begin_send(Micros now, const AttemptKey& key) {
